Fill a zone below the smallest subset up from other zones

Where crossing zones has a price, a copy picked only among its own zone's members until latency there had risen enough for the slow spill to move calls. A zone with one of four backends thus got nearly every call (8 to 20 out there, 0 or 1 at each of the others), and the copy refused work beside idle backends. The members that a zone lacks of MIN_SUBSET now come from beyond it, with their share of the calls, and the spill by latency works from there.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -258,7 +258,10 @@
         let far = |id: &&BackendId| apart && self.backends[id].entry.zone != self.s.zone;
         let (beyond, within): (Vec<_>, Vec<_>) = self.ring.iter().partition(far);
         let one = within.is_empty() || beyond.is_empty();
-        let spill = if one { f64::from(u8::from(within.is_empty())) } else { self.spill };
+        // What the zone lacks of the smallest subset comes from beyond it, with its share of the calls.
+        let lacking = 1.0 - within.len() as f64 / MIN_SUBSET.min(size.max(1.0));
+        self.spill = if one { f64::from(u8::from(within.is_empty())) } else { self.spill.max(lacking) };
+        let spill = self.spill;
         for (part, share) in [(within, 1.0 - spill), (beyond, spill)] {
             self.near = self.subset.len();
             let offset = f64::from(self.s.copy) * part.len() as f64 / copies;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -465,6 +465,18 @@
     Proxy::new(s, 1, zones)
 }
 
+/// Incident r9836: a copy whose zone holds one of four backends sent that one nearly all that it had.
+#[test]
+fn a_zone_smaller_than_a_subset_is_filled_up_from_beyond() {
+    let mut s = plain(2);
+    s.goal.cross_zone = 0.015;
+    let zones = entries(4).into_iter().map(|e| Entry { zone: e.backend as u16 % 3, ..e }).collect();
+    let mut p = Proxy::new(Settings { zone: 2, ..s }, 1, zones);
+    // A quarter of the members, so about a quarter of the calls, before any latency can tell.
+    let sends = run(&mut p, 1000.0, well);
+    assert!((30..80).contains(&sends[&2]), "the zone's one of four got too much or too little: {sends:?}");
+}
+
 fn share_beyond(sends: &BTreeMap<BackendId, usize>) -> f64 {
     let far: usize = sends.iter().filter(|(b, _)| **b > 5).map(|(_, n)| n).sum();
     far as f64 / sends.values().sum::<usize>().max(1) as f64
