Re-read discovery's address on SIGHUP instead of ending

The file's address is followed from then on, from the whole list; the environment still holds the old one, so the file goes first here. A file that cannot be read is one line in the log and changes nothing.

--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -42,9 +42,23 @@
 
 /// Reads the environment and the file that it names.
 pub fn load() -> Result<Config, String> {
+    parse(&file()?, env::var("RELAY_LISTEN").ok(), env::var("RELAY_DISCOVERY").ok())
+}
+
+/// Where discovery answers by the file as it is now: it may have been replaced since the start, which the
+/// environment does not show.
+pub fn discovery() -> Result<SocketAddr, String> {
+    #[derive(Deserialize)]
+    struct Moved {
+        discovery: Option<String>,
+    }
+    let moved: Moved = serde_json::from_slice(&file()?).map_err(|e| format!("config: {e}"))?;
+    address("discovery", moved.discovery)
+}
+
+fn file() -> Result<Vec<u8>, String> {
     let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-    parse(&text, env::var("RELAY_LISTEN").ok(), env::var("RELAY_DISCOVERY").ok())
+    std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))
 }
 
 /// The environment's addresses go before the file's.
--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -87,10 +87,26 @@
     }
 }
 
-/// Follows discovery for ever. Where the list must be asked for, it does so when the module says so and tells
-/// it of failures; elsewhere it watches all the time.
+/// Follows discovery for ever, wherever it moves to: there it begins with the whole list.
 pub async fn follow(
     engine: Rc<Engine>,
+    mut address: watch::Receiver<SocketAddr>,
+    must_ask: bool,
+    wanted: watch::Receiver<bool>,
+) {
+    loop {
+        let at = *address.borrow_and_update();
+        tokio::select! {
+            () = follow_at(&engine, at, must_ask, wanted.clone()) => return,
+            Ok(()) = address.changed() => {}
+        }
+    }
+}
+
+/// Where the list must be asked for, it does so when the module says so and tells it of failures; elsewhere it
+/// watches all the time.
+async fn follow_at(
+    engine: &Rc<Engine>,
     address: SocketAddr,
     must_ask: bool,
     mut wanted: watch::Receiver<bool>,
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -52,6 +52,7 @@
 
 async fn run(config: Config) -> Result<(), String> {
     let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reloaded = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     // Each request in work holds a connection on either side; kept ones fill what is left.
     let usable = config.sockets - RESERVED;
     let site = &config.facts.site;
@@ -72,7 +73,19 @@
     let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     eprintln!("heathroad: listening on {bound}");
-    spawn_local(discovery::follow(engine.clone(), config.discovery, must_ask, wanted));
+    let (moved, discovery) = watch::channel(config.discovery);
+    spawn_local(discovery::follow(engine.clone(), discovery, must_ask, wanted));
+    spawn_local(async move {
+        while reloaded.recv().await.is_some() {
+            match config::discovery() {
+                Ok(to) if moved.send_if_modified(|at| std::mem::replace(at, to) != to) => {
+                    eprintln!("heathroad: reloaded, discovery is at {to}");
+                }
+                Ok(_) => {}
+                Err(e) => eprintln!("heathroad: not reloaded: {e}"),
+            }
+        }
+    });
     spawn_local(async move {
         loop {
             sleep(SWEEP).await;
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -64,6 +64,19 @@
     }
 }
 
+/// Day 6 of the score: SIGHUP ended the program. A watch that waits at the old address is left at once.
+#[tokio::test]
+async fn a_reload_moves_to_the_discovery_that_the_file_names() {
+    let mut s = scene(settings()).await;
+    s.proxy.reload("{", "not reloaded").await;
+    assert_eq!(s.proxy.call("once").await.0, 200);
+    let c = Backend::start("c", &s.orders).await;
+    let moved = Discovery::start(vec![c.line("SERVING")]).await;
+    s.proxy.reload(&moved.config(settings()).to_string(), "reloaded").await;
+    moved.settled().await;
+    assert_eq!(s.proxy.call("once").await, (200, "c".into()));
+}
+
 /// An unsafe request that may have run is neither sent again nor refused; a safe one is sent again.
 #[tokio::test]
 async fn what_may_have_run_is_sent_again_only_if_that_is_safe() {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -266,6 +266,7 @@
 
 pub struct Proxy {
     pub addr: SocketAddr,
+    config: std::path::PathBuf,
     child: Child,
     log: tokio::io::Lines<BufReader<ChildStderr>>,
 }
@@ -286,11 +287,12 @@
 
     /// Starts the program by a shell command in which it is `$0`.
     pub async fn start_as(config: &Value, command: &str) -> Self {
+        let path = write_config(&config.to_string());
         let mut child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_heathroad")])
             .env_remove("RELAY_LISTEN")
-            .env_remove("RELAY_DISCOVERY")
-            .env("RELAY_CONFIG", write_config(&config.to_string()))
+            .env("RELAY_DISCOVERY", config["discovery"].as_str().expect("text"))
+            .env("RELAY_CONFIG", &path)
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -302,7 +304,7 @@
                 break addr.parse().expect("an address");
             }
         };
-        Proxy { addr, child, log }
+        Proxy { addr, config: path, child, log }
     }
 
     /// The proxy, once it holds discovery's list.
@@ -314,11 +316,20 @@
 
     /// Sends SIGTERM and waits until the program has taken notice.
     pub async fn terminate(&mut self) {
+        self.signal("-TERM", "stopping").await;
+    }
+
+    /// Replaces the configuration, sends SIGHUP and waits until the program says `notice`.
+    pub async fn reload(&mut self, text: &str, notice: &str) {
+        std::fs::write(&self.config, text).expect("the folder for tests takes a file");
+        self.signal("-HUP", notice).await;
+    }
+
+    async fn signal(&mut self, name: &str, notice: &str) {
         let id = self.child.id().expect("it runs").to_string();
-        let sent = soon(Command::new("kill").args(["-TERM", &id]).status()).await;
+        let sent = soon(Command::new("kill").args([name, &id]).status()).await;
         assert!(sent.expect("kill runs").success());
-        while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains("stopping") {
-        }
+        while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(notice) {}
     }
 
     pub async fn ended(&mut self) -> ExitStatus {
