Let the limit follow the tier's capacity up as well as down

The total now follows what the listed backends surely bear, so that a successor brings its part as it warms. The zone code above it loses two lines that said the same twice.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -110,6 +110,7 @@
     excess: [f64; 2], // latency over the baseline, in aims: in the zone, beyond it
     width: f64,
     weight: f64,
+    bears: f64,                            // backends in the list, cold ones in part
     requests: HashMap<RequestId, Request>, // looked up, never iterated: its order decides nothing
     lines: BTreeMap<u64, Line>,
     limiter: Limiter,
@@ -153,6 +154,7 @@
             buckets: vec![(f64::MAX, 0.0); settings.tenants.len()],
             retry_tokens: RETRY_DEPTH,
             ask_backoff: 1.0,
+            bears: 1.0,
             // One for all classes: in a full queue the longer hold would take every slot of its slice.
             hold: HOLD[settings.tier.min(1) as usize]
                 * settings.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min),
@@ -229,10 +231,7 @@
         self.ring = ready.map(|(&id, _)| id).collect();
         let after = self.ring.len() as f64;
         self.weight = self.ring.iter().map(|i| self.backends[i].entry.weight).sum::<f64>() / after.max(1.0);
-        if after < before && after > 0.0 {
-            self.limiter.total = (self.limiter.total * after / before).max(1.0);
-        }
-        self.resize(0.0);
+        self.resize(now, 0.0);
         if before == 0.0 {
             self.limiter.total = self.limiter.total.max(OVERLAP * self.width);
         }
@@ -247,9 +246,12 @@
     }
 
     /// The subset: from this copy's place on the ring of backends onwards until enough healthy ones are in.
-    fn resize(&mut self, passed: f64) {
-        let n = self.ring.len();
-        let (size, copies) = (n as f64, f64::from(self.s.copies));
+    fn resize(&mut self, now: f64, passed: f64) {
+        // The limit follows what the list surely bears: who leaves takes a part, a successor brings it back.
+        let bears: f64 = self.ring.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
+        let part = if bears > 0.0 { bears / std::mem::replace(&mut self.bears, bears) } else { 1.0 };
+        self.limiter.total *= part;
+        let (size, copies) = (self.ring.len() as f64, f64::from(self.s.copies));
         let want = (self.peak / CALLS_PER_MEMBER).max(OVERLAP * size / copies).max(MIN_SUBSET);
         self.width = want.max(self.width * (1.0 - NARROW_PER_S * passed / 1000.0)).min(size);
         self.subset.clear();
@@ -257,12 +259,10 @@
         let apart = self.s.goal.cross_zone > CROSS_CHEAP;
         let far = |id: &&BackendId| apart && self.backends[id].entry.zone != self.s.zone;
         let (beyond, within): (Vec<_>, Vec<_>) = self.ring.iter().partition(far);
-        let one = within.is_empty() || beyond.is_empty();
         // What the zone lacks of the smallest subset comes from beyond it, with its share of the calls.
         let lacking = 1.0 - within.len() as f64 / MIN_SUBSET.min(size.max(1.0));
-        self.spill = if one { f64::from(u8::from(within.is_empty())) } else { self.spill.max(lacking) };
-        let spill = self.spill;
-        for (part, share) in [(within, 1.0 - spill), (beyond, spill)] {
+        self.spill = if beyond.is_empty() { 0.0 } else { self.spill.max(lacking) };
+        for (part, share) in [(within, 1.0 - self.spill), (beyond, self.spill)] {
             self.near = self.subset.len();
             let offset = f64::from(self.s.copy) * part.len() as f64 / copies;
             let mut missing = (self.width * share).ceil().max(MIN_SUBSET);
@@ -608,7 +608,7 @@
         let gain = self.excess[0] - self.excess[1] - self.s.goal.cross_zone * CROSS_PRICE;
         self.drift = (self.drift + SPILL[1] * gain * passed / 1000.0).clamp(0.0, 1.0);
         self.spill = (self.drift + SPILL[0] * gain).clamp(0.0, 1.0);
-        self.resize(passed);
+        self.resize(now, passed);
         self.peak = self.inflight.max(self.peak * (1.0 - passed / 5000.0));
         // Those who have waited too long for their key's turn; keys that have rested.
         let stale = |id: &RequestId| self.requests.get(id).is_some_and(|r| now >= r.hold_until);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -98,6 +98,19 @@
     assert!(shrunk * 3 <= full, "{full} calls out over 20 backends, {shrunk} over the 5 left");
 }
 
+/// Day 6 of the score: in a release each backend leaves and a new one comes. The limit fell each time and stayed.
+#[test]
+fn limit_comes_back_with_the_successors_of_those_that_left() {
+    let mut p = Proxy::new(plain(1), 1, entries(8));
+    for old in 1..=8 {
+        p.list(ListKind::Delta, vec![Entry { phase: Phase::Draining, ..entry(old) }]);
+        p.list(ListKind::Delta, vec![Entry { started_at: p.now, ..entry(old + 8) }]);
+    }
+    p.advance(p.now + 20_000.0);
+    let (warm, first) = (fill(&mut p, 0, 0, 400), fill(&mut Proxy::new(plain(1), 1, entries(8)), 0, 0, 400));
+    assert!(first - warm <= 1, "{first} calls out at first, {warm} after the release");
+}
+
 #[test]
 fn low_worth_is_refused_first_and_its_slice_keeps_its_share() {
     let classes = vec![class(1000.0, 9.0, Effect::Retryable), class(1000.0, 1.0, Effect::Retryable)];
