Let a due trial go ahead in the pick, whatever its backend's past errors

A backend out of service comes back by a trial, but the trial had to win a pick between two members, and the errors for which the backend was left made it cost five to nine times as much. A trial now costs nothing in the comparison; its one call at a time and its time-outs stay as they were.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -255,11 +255,10 @@
         let want = (self.peak / CALLS_PER_MEMBER).max(OVERLAP * size / copies).max(MIN_SUBSET);
         self.width = want.max(self.width * (1.0 - NARROW_PER_S * passed / 1000.0)).min(size);
         self.subset.clear();
-        // Zones: where crossing has a price, only the share that `housekeep` spills leaves the zone.
+        // Where crossing has a price, only what is spilt or the smallest subset lacks leaves the zone.
         let apart = self.s.goal.cross_zone > CROSS_CHEAP;
         let far = |id: &&BackendId| apart && self.backends[id].entry.zone != self.s.zone;
         let (beyond, within): (Vec<_>, Vec<_>) = self.ring.iter().partition(far);
-        // What the zone lacks of the smallest subset comes from beyond it, with its share of the calls.
         let lacking = 1.0 - within.len() as f64 / MIN_SUBSET.min(size.max(1.0));
         self.spill = if beyond.is_empty() { 0.0 } else { self.spill.max(lacking) };
         for (part, share) in [(within, 1.0 - self.spill), (beyond, self.spill)] {
@@ -491,10 +490,11 @@
         }
     }
 
-    /// Expected wait at a backend, beside its fellows': own calls, learned speed, errors, warmth.
+    /// Expected wait at a backend, beside its fellows: own calls, speed, errors, warmth; a trial is free.
     fn cost(&self, now: f64, id: BackendId) -> f64 {
         let b = &self.backends[&id];
         let slow = b.slow * (1.0 + ERROR_COST * b.error) / b.warmth(&self.s.rules, now);
+        let slow = if b.ejected() && b.calls.is_empty() { 0.0 } else { slow };
         let crossing = if b.entry.zone != self.s.zone && self.s.goal.cross_zone > 0.0 { 0.5 } else { 0.0 };
         (b.calls.len() as f64 * self.weight / b.entry.weight.max(0.01) + 1.0 + crossing) * slow
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -278,6 +278,20 @@
     assert!(back.get(&2).copied().unwrap_or(0) > 20, "not taken back: {back:?}");
 }
 
+/// Day 3 of the score: a backend well again stayed out for 25 s, since its errors priced it out of every pick that
+/// could have been its trial.
+#[test]
+fn a_trial_is_not_priced_out_by_the_errors_it_is_to_try_anew() {
+    let mut p = Proxy::new(plain(1), 1, entries(8));
+    p.serve(3000.0, 1, 0, 300.0);
+    run(&mut p, 1000.0, |s, now| {
+        let outcome = if s.backend == 2 { Outcome::Error } else { Outcome::Ok };
+        (now - s.at >= 300.0).then_some(outcome)
+    });
+    let back = run(&mut p, 6000.0, well);
+    assert!(back.get(&2).copied().unwrap_or(0) > 20, "still out 6 s after its last error: {back:?}");
+}
+
 /// A trouble shared by all is nobody's illness: the fleet is not emptied.
 #[test]
 fn errors_everywhere_eject_nobody() {
