Take a backend's 400 for the request's own fault, not for the backend's error

Odd callers' requests that pass the front's checks are turned down by the backends with 400, within a millisecond. The new outcome Malformed says nothing of the backend and is not sent again.

--- a/src/api.rs
+++ b/src/api.rs
@@ -177,6 +177,8 @@
     Ok,
     /// The backend answered with an error; the request may have run.
     Error,
+    /// The backend found fault with the request itself, as any other would.
+    Malformed,
     /// Turned away unseen; never ran.
     Full,
     /// No answer in time; may have run.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -448,7 +448,7 @@
         if over {
             return self.end(now, id, out);
         }
-        if still_out || self.resend(now, id, free_move, out) {
+        if still_out || e.outcome != Outcome::Malformed && self.resend(now, id, free_move, out) {
             return;
         }
         // Held only with an attempt to spare: those past the limit come back unsent, for ever.
--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -299,6 +299,7 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             End::Unserved(Outcome::Full)
         }
+        StatusCode::BAD_REQUEST => End::Unserved(Outcome::Malformed),
         _ => End::Unserved(Outcome::Error),
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -292,6 +292,22 @@
     assert!(back.get(&2).copied().unwrap_or(0) > 20, "still out 6 s after its last error: {back:?}");
 }
 
+/// Quick day 2 of the score: odd callers' requests, turned down by the backends, made the backends look ill.
+#[test]
+fn a_malformed_request_is_ended_at_once_and_held_against_no_backend() {
+    let mut p = Proxy::new(plain(1), 1, entries(8));
+    let id = p.ask(0, 0, 4000.0);
+    p.resolve(id, 0, Outcome::Malformed);
+    let asked = &p.asked[&id];
+    assert!(asked.ended.is_some() && asked.sends.len() == 1, "sent on: {asked:?}");
+    run(&mut p, 3000.0, well);
+    let turned_down =
+        |s: &Sent, now: f64| if s.backend == 2 { Some(Outcome::Malformed) } else { well(s, now) };
+    run(&mut p, 1000.0, turned_down);
+    let sends = run(&mut p, 2000.0, turned_down);
+    assert!(sends.get(&2).copied().unwrap_or(0) > 20, "left as if it were ill: {sends:?}");
+}
+
 /// A trouble shared by all is nobody's illness: the fleet is not emptied.
 #[test]
 fn errors_everywhere_eject_nobody() {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -95,6 +95,17 @@
     }
 }
 
+/// What one backend finds malformed the next one would too: one attempt, even where more would be safe.
+#[tokio::test]
+async fn what_a_backend_finds_malformed_is_not_sent_again() {
+    let s = scene(settings()).await;
+    for (n, class) in ["look", "keep", "once"].into_iter().enumerate() {
+        s.orders.give([Do::Answer(400)]);
+        assert!((500..600).contains(&s.proxy.call(class).await.0));
+        assert_eq!(s.orders.seen.borrow().len(), n + 1);
+    }
+}
+
 /// `b` declines first, so that the next attempt must go to the other, which can't be reached; after that `b`
 /// serves. Only an ending that proves that nothing ran lets an unsafe request come that far.
 async fn goes_round(addr: std::net::SocketAddr) {
