--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -25,6 +25,8 @@
 
 /// A caller may take so long to send a request's head, and may be idle for so long before it.
 const HEAD: Duration = Duration::from_secs(60);
+/// A caller that has sent no request's head so long after it connected is not a proper one.
+const FIRST: Duration = Duration::from_millis(2500);
 /// Pause when nothing can be accepted.
 const STARVED: Duration = Duration::from_millis(10);
 /// Where places are short, a connection at rest for so long is closed.
@@ -91,8 +93,9 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let rests_since = Cell::new(Instant::now());
+        let (rests_since, asked) = (Cell::new(Instant::now()), Cell::new(false));
         let service = service_fn(async |request| {
+            asked.set(true);
             let reply = self.answer(request, crowded).await;
             rests_since.set(Instant::now());
             reply
@@ -102,10 +105,12 @@
             .header_read_timeout(HEAD)
             .serve_connection(Watched::new(TokioIo::new(stream)), service);
         let mut connection = pin!(connection);
+        let mut first = pin!(sleep(FIRST));
         loop {
             tokio::select! {
                 // However it ends, the caller is gone and its request, if any, was told so.
                 _ = connection.as_mut() => return,
+                () = &mut first, if !first.is_elapsed() => if !asked.get() { return },
                 _ = stop.wait_for(|stop| *stop) => break,
                 // Not the newest ones: their requests are on their way.
                 _ = crowd.changed() => if rests_since.get().elapsed() > REST { break },
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,7 +6,7 @@
 use rig::*;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
@@ -357,6 +357,22 @@
     }
 }
 
+/// Who sends nothing, or a part of a head, must hear from us within 3 s of connecting; a proper caller may rest.
+#[tokio::test]
+async fn a_peer_that_sends_no_request_is_closed_in_time() {
+    let s = scene(settings()).await;
+    let mut proper = s.proxy.caller().await;
+    assert_eq!(proper.call("once").await.0, 200);
+    for begun in ["", "POST /once HTTP/1.1\r\nHost: origin"] {
+        let connected = Instant::now();
+        let mut peer = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+        peer.write_all(begun.as_bytes()).await.expect("open");
+        soon(peer.read_to_end(&mut Vec::new())).await.expect("closed, not reset");
+        assert!(connected.elapsed() < Duration::from_secs(3), "{begun:?} held for {:?}", connected.elapsed());
+    }
+    assert_eq!(proper.call("once").await.0, 200);
+}
+
 #[tokio::test]
 async fn malformed_requests_are_turned_down_and_reach_no_backend() {
     let s = scene(settings()).await;
