Let a watch on discovery wait 1 s, so that a silent one is noticed within 2 s

Each proxy's calls to discovery, logged: all 33 first watches, asked at 0.01 s, fell silent, which was noticed at 11.51 s (wait 10 s, patience 1.5 s). One proxy's second watch, asked at 11.56 s, fell silent too and was given up at 23.07 s; the drains listed from 13.04 s on counted as told by then. Lists that broke off were asked for again within 60 ms and did no harm; the other proxies had every change 30 to 50 ms after it was listed.

WAIT and PATIENCE in discovery.rs were at fault.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -15,10 +15,11 @@
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
-/// How long a watch waits for a change; short, so that a dead watch is soon noticed.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long a watch waits for a change. A watch may fall silent, which shows only by its wait; news counts as
+/// told 6 s on at the latest, so that even two silent watches in a row must be noticed well before that.
+const WAIT: Duration = Duration::from_secs(1);
 /// An answer that is later than its wait by this is not coming.
-const PATIENCE: Duration = Duration::from_millis(1500);
+const PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a failed call: doubles from the one to the other.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 /// Pause after an answer without news that came at once; a watch goes on if asked within 200 ms.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -224,6 +224,17 @@
     assert_eq!(s.proxy.call("look").await, (200, drains.name.into()));
 }
 
+/// The large fleet: news counts as told after 6 s, whether a watch that fell silent brought it or not.
+#[tokio::test]
+async fn a_watch_that_falls_silent_is_noticed_before_its_news_counts_as_told() {
+    let s = scene(settings()).await;
+    s.discovery.silence();
+    let changed = Instant::now();
+    s.discovery.tell(vec![s.a.line("DRAINING"), s.b.line("SERVING")]).await;
+    assert!(changed.elapsed() < Duration::from_secs(6), "told after {:?}", changed.elapsed());
+    assert_eq!(s.proxy.call("look").await, (200, "b".into()));
+}
+
 #[tokio::test]
 async fn a_connect_that_outlasts_the_grace_of_a_drain_carries_nothing() {
     let (listener, held) = silent().await;
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -195,6 +195,8 @@
     addr: SocketAddr,
     list: Arc<watch::Sender<(u64, Vec<Value>)>>,
     held: Arc<watch::Sender<u64>>,
+    /// How often the watches of the time were told to fall silent.
+    silenced: Arc<AtomicUsize>,
 }
 
 impl Discovery {
@@ -203,19 +205,24 @@
         let addr = listener.local_addr().expect("bound");
         let list = Arc::new(watch::Sender::new((1, hosts)));
         let held = Arc::new(watch::Sender::new(0));
-        let (lists, holds) = (list.clone(), held.clone());
+        let silenced = Arc::<AtomicUsize>::default();
+        let (lists, holds, silence) = (list.clone(), held.clone(), silenced.clone());
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("a connection");
-                let (lists, holds) = (lists.clone(), holds.clone());
+                let (lists, holds, silence) = (lists.clone(), holds.clone(), silence.clone());
                 let service = service_fn(move |request: Request<Incoming>| {
-                    let (mut list, holds) = (lists.subscribe(), holds.clone());
+                    let (mut list, holds, silence) = (lists.subscribe(), holds.clone(), silence.clone());
+                    let before = silence.load(SeqCst);
                     async move {
                         let after = request.uri().query().and_then(|q| q.strip_prefix("after="));
                         let after = after.and_then(|q| q.split('&').next()?.parse::<u64>().ok());
                         if let Some(after) = after {
                             holds.send_replace(after);
                             list.wait_for(|(seq, _)| *seq > after).await.map_err(io::Error::other)?;
+                            if silence.load(SeqCst) > before {
+                                std::future::pending::<()>().await;
+                            }
                         }
                         let (seq, hosts) = list.borrow().clone();
                         let text = json!({"seq": seq, "whole": true, "hosts": hosts}).to_string();
@@ -225,7 +232,7 @@
                 tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
             }
         });
-        Discovery { addr, list, held }
+        Discovery { addr, list, held, silenced }
     }
 
     /// The configuration of a proxy that asks here.
@@ -241,6 +248,11 @@
         soon(self.held.subscribe().wait_for(|held| *held >= now)).await.expect("open");
     }
 
+    /// The watches that wait now get no answer any more.
+    pub fn silence(&self) {
+        self.silenced.fetch_add(1, SeqCst);
+    }
+
     /// Changes the list and waits until the proxy holds it.
     pub async fn tell(&self, hosts: Vec<Value>) {
         self.list.send_modify(|(seq, list)| (*seq, *list) = (*seq + 1, hosts));
