Send a cold backend what its warmth bears, not half of that

The rule lets a cold backend have fall_multiple times its capacity; half of that was meant to be used, but `COLD_MARGIN * fall_multiple.min(1.0)` in housekeep took half of the capacity itself. Now half of the budget is, up to what the warmth is worth beside the others' load, which is all that the comparison of costs asks for.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -622,7 +622,7 @@
         self.free_held(now, true, out);
         // Cold budgets grow with what this copy's backends prove to bear, at the warmth surely reached.
         let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
-        let margin = COLD_MARGIN * self.s.rules.fall_multiple.min(1.0);
+        let margin = (COLD_MARGIN * self.s.rules.fall_multiple).min(1.0);
         let each = self.limiter.rate / warm.max(1.0) * margin * passed;
         let mut hung = Vec::new();
         for id in &self.subset {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -192,6 +192,34 @@
     }
 }
 
+/// The large fleet: of a third that were new, each was sent half of what its warmth bears beside jammed fellows.
+#[test]
+fn a_cold_backend_is_sent_what_its_warmth_bears() {
+    let mut p = Proxy::new(settings(1, vec![class(2000.0, 1.0, Effect::Retryable)]), 1, entries(5));
+    p.serve(6000.0, 2, 0, 250.0);
+    let started_at = p.now;
+    p.list(ListKind::Delta, vec![Entry { started_at, ..entry(3) }]);
+    let mut sends = 0;
+    for _ in 0..800 {
+        p.ask(0, 0, 1e5);
+        p.ask(0, 0, 1e5);
+        p.advance(p.now + 5.0);
+        for (id, attempt, s) in p.out() {
+            sends += usize::from(s.backend == 3 && s.at >= p.now - 5.0);
+            if p.now - s.at >= 250.0 || s.backend == 3 {
+                p.resolve(id, attempt, Outcome::Ok);
+            }
+        }
+        p.forget();
+    }
+    // 400 requests a second over 5 backends for 4 s, at a warmth of 0.12 to 0.296.
+    let bears = 4.0 * (0.12 + 0.296) / 2.0 * 400.0 / 5.0;
+    assert!(
+        f64::from(sends as u32) > 0.75 * bears,
+        "{sends} sends to a cold backend, {bears:.0} could be borne"
+    );
+}
+
 /// A restarted copy knows its cold backends only from a cached list and has seen no rate yet.
 #[test]
 fn a_copy_without_history_spares_cold_backends() {
