Hold the limit to what the best rate needs where a queue shows

When 6 of 16 backends are lost at 5 s, up to 102 calls queue at the other ten, which choke: 104 answers a second become 50 to 67. The limits stay at 175 until 9 s, since answers are still within the aim, and a copy that sees 3 a second closes a window every 3 s.

Limiter::update knew of no queue below the aim. Now, where answers and calls in flight both take twice the baseline, the limit is at most 1.5 times the best rate of the last minute times the baseline, and its root.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -15,6 +15,8 @@
 const DROP_SHARE: f64 = 0.05; // share of drops that calls for a smaller limit: fewer are single bad picks
 const WINDOW: f64 = 10.0; // answers that a window of the limiter needs at the least
 const STEP: [f64; 2] = [0.7, 1.5]; // the limit moves by no more in a window, which may be chance
+const QUEUED: f64 = 2.0; // multiple of the baseline at which answers and calls in flight both tell of a queue
+const SPARE: f64 = 1.5; // a queue leaves the limit so many times what the best rate needs, and its root
 const HOLD: [f64; 2] = [0.125, 0.5]; // share of the aim that a request is held: first tier, behind it
 const MIN_SUBSET: f64 = 5.0; // room for two picks when a member or two are out
 const OVERLAP: f64 = 2.0; // copies that share a backend at the least, so that none depends on a single one
@@ -33,7 +35,7 @@
 const SPILL: [f64; 2] = [1.0, 0.4]; // proportional; integral a second: behind a queue, haste makes it swing
 const SPILL_FADE: f64 = 8000.0; // a zone that was left altogether gives no answers and is tried again
 const MAX_EJECTED: f64 = 0.5; // share of the list out of service beyond which the illness is nobody's own
-const BORNE: [f64; 2] = [2000.0, 60_000.0]; // in which it is learned that members bear more, and unlearned
+const BORNE: [f64; 2] = [2000.0, 60_000.0]; // in which a higher rate of answers is learned, and unlearned
 const COLD_MARGIN: f64 = 0.5; // part of the cold budget used: backends are unlike, handshakes count
 const RETRY_SHARE: f64 = 0.1; // repeats of what may have run, as a share of requests: no storm
 const RETRY_DEPTH: f64 = 10.0;
@@ -67,6 +69,7 @@
 impl Limiter {
     fn update(&mut self, passed: f64) {
         self.elapsed += passed;
+        self.flight += passed * self.classes.iter().map(|c| c.busy).sum::<f64>();
         self.area += passed * self.classes.iter().map(|c| c.busy / c.target()).sum::<f64>();
         if self.answers + self.drops + self.timeouts < WINDOW || self.elapsed < self.mean {
             return;
@@ -74,6 +77,9 @@
         let n = self.answers.max(1.0);
         let (load, seen) = (self.area / n, self.ratios / n);
         self.rate = self.answers / self.elapsed;
+        let pace = (self.elapsed / BORNE[usize::from(self.rate < self.best)]).min(1.0);
+        self.best =
+            if self.rate > 2.0 * self.best { self.rate } else { self.best + (self.rate - self.best) * pace };
         let busy: f64 = self.classes.iter().map(|c| c.busy).sum();
         // Time-outs are drops only while answers are slow too: lost ones alone would cut it to nothing.
         let drops = self.drops + if seen > 1.0 || self.answers == 0.0 { self.timeouts } else { 0.0 };
@@ -83,9 +89,16 @@
         // both. Growth needs both as well: the first answers are the quick ones. Few answers move little.
         let sure = load.min(seen) * (1.0 - 1.0 / n.sqrt());
         cut = cut.min(1.0 / sure.max(1.0).sqrt());
+        // What is in flight beyond the best rate at the baseline's latency waits in the backends' queues, and
+        // crowded ones slow down. Few calls come and go by chance: their root is spared.
+        let queued = self.flight.min(self.waits) > QUEUED * self.bases;
+        if queued {
+            let needed = self.best * self.bases / n;
+            self.total = self.total.min(SPARE * needed + needed.sqrt()).max(1.0);
+        }
         if cut < 1.0 {
             self.total = (self.total * cut.max(STEP[0])).max(1.0);
-        } else if self.used && load.max(seen) < 1.0 {
+        } else if !queued && self.used && load.max(seen) < 1.0 {
             self.total *= (1.0 / load.max(seen).max(0.01).sqrt()).min(STEP[1]);
         }
         // The baseline creeps up to what is seen: fast while there is slack, slowly under load.
@@ -93,6 +106,7 @@
         self.classes.iter_mut().for_each(|c| c.base += (c.mean - c.base) * creep);
         (self.elapsed, self.area, self.answers, self.ratios) = (0.0, 0.0, 0.0, 0.0);
         (self.drops, self.timeouts, self.used) = (0.0, 0.0, false);
+        (self.flight, self.waits, self.bases) = (0.0, 0.0, 0.0);
     }
 }
 
@@ -253,6 +267,7 @@
         let bears: f64 = self.ring.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
         let part = if bears > 0.0 { bears / std::mem::replace(&mut self.bears, bears) } else { 1.0 };
         self.limiter.total *= part;
+        self.limiter.best *= part;
         let (size, copies) = (self.ring.len() as f64, f64::from(self.s.copies));
         let want = (self.peak / CALLS_PER_MEMBER).max(OVERLAP * size / copies).max(MIN_SUBSET);
         self.width = want.max(self.width * (1.0 - NARROW_PER_S * passed / 1000.0)).min(size);
@@ -544,6 +559,8 @@
                 if ok {
                     c.sample(e.wait);
                     l.ratios += (e.wait / c.target()).min(CLIP);
+                    l.waits += e.wait.min(CLIP * c.target());
+                    l.bases += c.base;
                 }
                 let over = &mut self.excess[usize::from(b.entry.zone != self.s.zone)];
                 *over += ((e.wait - c.base) / c.aim - *over) * 0.1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,6 +77,10 @@
     pub drops: f64,
     pub timeouts: f64,
     pub used: bool,
+    pub flight: f64, // calls in flight times time
+    pub waits: f64,  // of the answers
+    pub bases: f64,  // their classes' baselines, summed alike
     pub rate: f64,
+    pub best: f64, // rate that was borne in the last minute or so
     pub mean: f64,
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -68,6 +68,19 @@
     }
 }
 
+/// The large fleet: limits grown on chance peaks of quiet times let a queue grow to three times what the rate
+/// needs before answers took longer than the aim allows.
+#[test]
+fn limit_keeps_to_what_the_rate_needs_where_a_queue_shows() {
+    let mut p = Proxy::new(plain(1), 1, entries(20));
+    p.serve(6000.0, 1, 0, 100.0);
+    let before = fill(&mut Proxy::new(plain(1), 1, entries(20)), 0, 0, 400);
+    // 200 a second at 100 ms need 20 in flight; at 300 ms, within the aim, 40 of 60 only wait.
+    p.serve(4000.0, 1, 0, 300.0);
+    let out = p.out().len();
+    assert!((20..=38).contains(&out), "{out} calls out, {before} allowed at first");
+}
+
 /// The first answers after a change are the quick ones; a limit that grows on them alone overshoots.
 #[test]
 fn quick_answers_do_not_speak_for_those_still_out() {
