--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -276,8 +276,8 @@
         let apart = self.s.goal.cross_zone > CROSS_CHEAP;
         let far = |id: &&BackendId| apart && self.backends[id].entry.zone != self.s.zone;
         let (beyond, within): (Vec<_>, Vec<_>) = self.ring.iter().partition(far);
-        // Each zone gets its part of the calls; what it bears less than that, new or ill as its members are, is
-        // spilt at once: latency tells only once the rest of them are crowded. Those due for a trial count.
+        // Each zone gets its part of the calls; what its members, new or ill, bear less than that is spilt at
+        // once: latency tells only once the rest of them are crowded. Those due for a trial count.
         let bear = |ids: &[&BackendId]| -> f64 {
             let serving = ids.iter().map(|i| &self.backends[i]).filter(|b| now >= b.ejected_until);
             serving.map(|b| b.warmth(&self.s.rules, now)).sum()
