Add the operators' address and one lifecycle for drains and stops

Ruled out: readiness itself, which follows the list of backends (engine.rs, ready). At fault: nothing listened, and front.rs answered ready by the backends alone.

--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -12,6 +12,8 @@
     pub listen: SocketAddr,
     /// Where discovery, or its agent, answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// How many descriptors the process may hold.
@@ -26,6 +28,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    ops: Option<String>,
     seed: String,
     limits: Limits,
     known: Option<Page>,
@@ -42,7 +45,8 @@
 
 /// Reads the environment and the file that it names.
 pub fn load() -> Result<Config, String> {
-    parse(&file()?, env::var("RELAY_LISTEN").ok(), env::var("RELAY_DISCOVERY").ok())
+    let told = |name| env::var(name).ok();
+    parse(&file()?, told("RELAY_LISTEN"), told("RELAY_DISCOVERY"), told("RELAY_OPS"))
 }
 
 /// Where discovery answers by the file as it is now: it may have been replaced since the start, which the
@@ -62,7 +66,12 @@
 }
 
 /// The environment's addresses go before the file's.
-fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
+fn parse(
+    text: &[u8],
+    listen: Option<String>,
+    discovery: Option<String>,
+    ops: Option<String>,
+) -> Result<Config, String> {
     let json = &mut serde_json::Deserializer::from_slice(text);
     let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
     let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
@@ -80,7 +89,9 @@
     if let Some((_, what)) = wrong.iter().find(|(bad, _)| *bad) {
         return Err(format!("config: {what}"));
     }
+    let ops = ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?;
     Ok(Config {
+        ops,
         listen: address("listen", listen.or(file.listen))?,
         discovery: address("discovery", discovery.or(file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -2,6 +2,7 @@
 
 use crate::backend::{Call, MAX_BODY};
 use crate::engine::{Answer, Engine, Incoming};
+use crate::lifecycle::{LINGER, Lifecycle, Phase};
 use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -46,18 +47,23 @@
     pub engine: Rc<Engine>,
     /// The settings.
     pub facts: Facts,
+    /// Whether clients are taken.
+    pub lifecycle: Rc<Lifecycle>,
     /// Most connections at once.
     pub connections: usize,
 }
 
 impl Front {
-    /// Accepts connections until `stop` is set; then closes them as they fall idle, and returns when the last
-    /// one is.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    /// Accepts connections until the process stops and no more come; then closes them as they fall idle, and
+    /// returns when the last one is.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut open = JoinSet::new();
-        let closing = stop.clone();
         let crowd = watch::Sender::new(());
-        while !*stop.borrow_and_update() {
+        let mut over = pin!(async {
+            self.lifecycle.stopped().await;
+            sleep(LINGER).await;
+        });
+        loop {
             let full = open.len() >= self.connections + SPARE;
             if full {
                 // Connections that are left in the system's queue hold requests that we owe an answer, and
@@ -65,13 +71,13 @@
                 crowd.send_replace(());
             }
             tokio::select! {
-                _ = stop.changed() => break,
+                () = &mut over => break,
                 () = sleep(STARVED), if full => {}
                 Some(_) = open.join_next() => {}
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
                         let crowded = open.len() >= self.connections;
-                        open.spawn_local(self.clone().connection(stream, closing.clone(), crowd.subscribe(), crowded));
+                        open.spawn_local(self.clone().connection(stream, crowd.subscribe(), crowded));
                     }
                     // No error ends the loop, out of descriptors or other: callers are waiting, and what is
                     // short comes free again.
@@ -83,13 +89,7 @@
         while open.join_next().await.is_some() {}
     }
 
-    async fn connection(
-        self: Rc<Self>,
-        stream: TcpStream,
-        mut stop: watch::Receiver<bool>,
-        mut crowd: watch::Receiver<()>,
-        crowded: bool,
-    ) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, mut crowd: watch::Receiver<()>, crowded: bool) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
@@ -106,12 +106,20 @@
             .serve_connection(Watched::new(TokioIo::new(stream)), service);
         let mut connection = pin!(connection);
         let mut first = pin!(sleep(FIRST));
+        let mut released = pin!(self.lifecycle.released());
         loop {
             tokio::select! {
                 // However it ends, the caller is gone and its request, if any, was told so.
                 _ = connection.as_mut() => return,
                 () = &mut first, if !first.is_elapsed() => if !asked.get() { return },
-                _ = stop.wait_for(|stop| *stop) => break,
+                () = &mut released => {
+                    // A request that is still on its way is the first here and must not be closed on; its
+                    // answer closes the connection.
+                    if asked.get() {
+                        break;
+                    }
+                    released.set(self.lifecycle.released());
+                }
                 // Not the newest ones: their requests are on their way.
                 _ = crowd.changed() => if rests_since.get().elapsed() > REST { break },
             }
@@ -122,8 +130,9 @@
 
     async fn answer(&self, request: Request<Inflow>, crowded: bool) -> Result<Reply, Infallible> {
         let received = Instant::now();
+        let taking = || self.lifecycle.phase() == Phase::Serving;
         if request.uri().path() == "/health/ready" {
-            let ready = self.engine.ready();
+            let ready = self.engine.ready() && taking();
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
         let mut reply = match self.read(request, received).await {
@@ -134,7 +143,7 @@
             }
             Ok(incoming) => write(self.engine.decide(incoming).await),
         };
-        if crowded {
+        if crowded || !taking() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
--- /dev/null
+++ b/src/bin/heathroad/lifecycle.rs
@@ -0,0 +1,118 @@
+//! Whether this process takes clients: one state, changed by the ops address and by SIGTERM, watched by the
+//! listener and by each client's connection.
+
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// New connections go on coming for so long after a no; and a connection at rest gets so much time for a last
+/// request, whose answer closes it, before it is closed between requests.
+pub const LINGER: Duration = Duration::from_millis(500);
+
+/// What the process does about clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes them.
+    Serving,
+    /// Serves those that still come and lets them go.
+    Draining,
+    /// The same, for good.
+    Stopping,
+}
+
+impl Phase {
+    /// Its name, for operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            Phase::Serving => "serving",
+            Phase::Draining => "draining",
+            Phase::Stopping => "stopping",
+        }
+    }
+}
+
+/// The state of this process.
+pub struct Lifecycle(watch::Sender<Phase>);
+
+impl Lifecycle {
+    /// A process that takes clients.
+    pub fn new() -> Self {
+        Lifecycle(watch::Sender::new(Phase::Serving))
+    }
+
+    /// What it does now.
+    pub fn phase(&self) -> Phase {
+        *self.0.borrow()
+    }
+
+    /// Empties the proxy; whether it does so now.
+    pub fn quiesce(&self) -> bool {
+        self.turn(Phase::Draining)
+    }
+
+    /// Takes clients again; whether it does so now.
+    pub fn resume(&self) -> bool {
+        self.turn(Phase::Serving)
+    }
+
+    /// Ends the taking of clients. Nothing undoes it.
+    pub fn stop(&self) {
+        self.0.send_replace(Phase::Stopping);
+    }
+
+    fn turn(&self, to: Phase) -> bool {
+        self.0.send_if_modified(|now| *now != Phase::Stopping && std::mem::replace(now, to) != to);
+        self.phase() == to
+    }
+
+    /// Waits until clients have been let go for [`LINGER`]: from then on a connection at rest is to be closed.
+    pub async fn released(&self) {
+        let mut phase = self.0.subscribe();
+        loop {
+            // The sender is this one's own and is not gone.
+            let _ = phase.wait_for(|p| *p != Phase::Serving).await;
+            tokio::select! {
+                () = sleep(LINGER) => return,
+                _ = phase.wait_for(|p| *p == Phase::Serving) => {}
+            }
+        }
+    }
+
+    /// Waits until the process stops.
+    pub async fn stopped(&self) {
+        let _ = self.0.subscribe().wait_for(|p| *p == Phase::Stopping).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::pin::pin;
+    use tokio::time::{Instant, timeout};
+
+    #[tokio::test(start_paused = true)]
+    async fn a_resume_straight_after_a_quiesce_releases_nobody() {
+        let life = Lifecycle::new();
+        let mut released = pin!(life.released());
+        for _ in 0..3 {
+            assert!(life.quiesce() && life.phase() == Phase::Draining);
+            assert!(timeout(LINGER / 2, released.as_mut()).await.is_err());
+            assert!(life.resume() && life.phase() == Phase::Serving);
+            assert!(timeout(LINGER * 4, released.as_mut()).await.is_err());
+        }
+        let called = Instant::now();
+        assert!(life.quiesce());
+        released.await;
+        assert_eq!(called.elapsed(), LINGER);
+    }
+
+    #[tokio::test]
+    async fn a_stop_during_a_drain_is_for_good() {
+        let life = Lifecycle::new();
+        assert!(life.quiesce());
+        life.stop();
+        assert!(!life.resume() && !life.quiesce());
+        assert_eq!(life.phase(), Phase::Stopping);
+        life.stopped().await;
+    }
+}
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -7,12 +7,17 @@
 mod discovery;
 mod engine;
 mod front;
+mod lifecycle;
+mod ops;
 mod stream;
 
 use backend::Pool;
 use config::Config;
 use engine::{Engine, millis};
 use front::Front;
+use lifecycle::{LINGER, Lifecycle};
+use ops::Ops;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,8 +28,6 @@
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
-/// After SIGTERM new connections go on coming for so long.
-const LINGER: Duration = Duration::from_millis(500);
 /// So long after SIGTERM all that was taken must be answered; a kill may follow soon after.
 const LAST: Duration = Duration::from_millis(3300);
 /// How often kept connections are looked through for old ones.
@@ -54,7 +57,9 @@
     let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut reloaded = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     // Each request in work holds a connection on either side; kept ones fill what is left.
-    let usable = config.sockets - RESERVED;
+    let aside = RESERVED + config.ops.map_or(0, |_| ops::DESCRIPTORS);
+    let usable = config.sockets.checked_sub(aside).filter(|n| *n > 1);
+    let usable = usable.ok_or("config: limits.sockets: too few to work with")?;
     let site = &config.facts.site;
     let pool = Rc::new(Pool::new(backend::Limits {
         connections: usable / 2,
@@ -69,10 +74,13 @@
     let engine = engine.map_err(|e| e.to_string())?;
     let known = config.known.map(|page| page.entries()).unwrap_or_default();
     engine.list(ListKind::Cached, known);
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = listener.map_err(|e| format!("listen: {}: {e}", config.listen))?;
-    let bound = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    eprintln!("heathroad: listening on {bound}");
+    let lifecycle = Rc::new(Lifecycle::new());
+    if let Some(address) = config.ops {
+        let listener = bind("ops", address).await?;
+        let ops = Ops { engine: engine.clone(), lifecycle: lifecycle.clone() };
+        spawn_local(Rc::new(ops).serve(listener));
+    }
+    let listener = bind("listening", config.listen).await?;
     let (moved, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::follow(engine.clone(), discovery, must_ask, wanted));
     spawn_local(async move {
@@ -92,15 +100,23 @@
             pool.sweep();
         }
     });
-    let (stop, stopped) = watch::channel(false);
-    let front = Front { engine: engine.clone(), facts: config.facts, connections: usable - usable / 2 };
-    let serving = spawn_local(Rc::new(front).serve(listener, stopped));
+    let connections = usable - usable / 2;
+    let front =
+        Front { engine: engine.clone(), facts: config.facts, lifecycle: lifecycle.clone(), connections };
+    let serving = spawn_local(Rc::new(front).serve(listener));
     terminated.recv().await;
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
+    lifecycle.stop();
     engine.end_by(Instant::now() + LAST);
-    sleep(LINGER).await;
-    stop.send_replace(true);
     // All is answered by `LAST`; a caller that does not take its answer must not keep the program.
-    let ended = timeout(LAST, serving).await;
+    let ended = timeout(LINGER + LAST, serving).await;
     ended.map_or(Ok(()), |served| served.map_err(|e| format!("front: {e}")))
 }
+
+/// Listens, and says where.
+async fn bind(what: &str, address: SocketAddr) -> Result<TcpListener, String> {
+    let listener = TcpListener::bind(address).await.map_err(|e| format!("{what}: {address}: {e}"))?;
+    let bound = listener.local_addr().map_err(|e| format!("{what}: {e}"))?;
+    eprintln!("heathroad: {what} on {bound}");
+    Ok(listener)
+}
--- /dev/null
+++ b/src/bin/heathroad/ops.rs
@@ -0,0 +1,116 @@
+//! The operators' address: one line to a connection, one answer, then a close.
+
+use crate::engine::Engine;
+use crate::lifecycle::{Lifecycle, Phase};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Most callers at once. One more takes the place of the one that has been here longest without a whole call:
+/// those who say nothing keep nobody out.
+const CALLERS: usize = 16;
+/// Descriptors that this address may need: the listener, the callers and the one that is just coming.
+pub const DESCRIPTORS: usize = CALLERS + 2;
+/// A call is awaited for so long, and so is the taking of its answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// So long a caller may go on after its answer.
+const AFTER: Duration = Duration::from_millis(200);
+/// Longest call.
+const MAX_CALL: usize = 256;
+/// Pause when nothing can be accepted.
+const STARVED: Duration = Duration::from_millis(10);
+
+/// What is needed to answer.
+pub struct Ops {
+    /// Tells whether requests can be decided.
+    pub engine: Rc<Engine>,
+    /// Is told to empty the proxy, or to take clients again.
+    pub lifecycle: Rc<Lifecycle>,
+}
+
+impl Ops {
+    /// Answers calls for ever.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let mut callers: VecDeque<oneshot::Sender<()>> = VecDeque::new();
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(STARVED).await;
+                continue;
+            };
+            callers.retain(|c| !c.is_closed());
+            if callers.len() >= CALLERS {
+                callers.pop_front();
+            }
+            let (place, lost) = oneshot::channel();
+            callers.push_back(place);
+            spawn_local(self.clone().caller(stream, lost));
+        }
+    }
+
+    async fn caller(self: Rc<Self>, mut stream: TcpStream, mut lost: oneshot::Receiver<()>) {
+        let (mut kept, mut unread) = (true, [0; MAX_CALL]);
+        let answer = tokio::select! {
+            call = timeout(PATIENCE, read(&mut stream)) => match call {
+                Ok(Ok(line)) => self.answer(&line),
+                Ok(Err(why)) => why.to_string(),
+                Err(_) => "NAK no whole call in time".to_string(),
+            },
+            _ = &mut lost => {
+                kept = false;
+                "NAK too many callers".to_string()
+            }
+        };
+        // Who has left, or takes nothing, has no use for the answer.
+        let _ = timeout(PATIENCE, async {
+            stream.write_all(format!("{answer}\n").as_bytes()).await?;
+            stream.shutdown().await
+        })
+        .await;
+        // Closed with something unread, the connection would be reset and the answer lost.
+        let rest = async { while matches!(stream.read(&mut unread).await, Ok(1..)) {} };
+        tokio::select! {
+            () = rest => {}
+            () = sleep(AFTER) => {}
+            _ = lost, if kept => {}
+        }
+    }
+
+    fn answer(&self, call: &str) -> String {
+        let phase = self.lifecycle.phase();
+        let say = |yes: bool| {
+            let state = if self.engine.ready() { self.lifecycle.phase().name() } else { "starting" };
+            format!("{} {state}", if yes { "ACK" } else { "NAK" })
+        };
+        match call {
+            "health" => say(self.engine.ready() && phase != Phase::Stopping),
+            "quiesce" => say(self.lifecycle.quiesce()),
+            "resume" => say(self.lifecycle.resume()),
+            _ => "NAK unknown call".to_string(),
+        }
+    }
+}
+
+/// One line, without its end.
+async fn read(stream: &mut TcpStream) -> Result<String, &'static str> {
+    let mut line = Vec::with_capacity(MAX_CALL);
+    loop {
+        if let Some(end) = line.iter().position(|&b| b == b'\n') {
+            line.truncate(end);
+            let line = String::from_utf8(line).map_err(|_| "NAK not text")?;
+            return Ok(line.trim().to_string());
+        }
+        if line.len() >= MAX_CALL {
+            return Err("NAK the call is too long");
+        }
+        let mut part = [0; MAX_CALL];
+        match stream.read(&mut part).await {
+            Ok(n @ 1..) => line.extend_from_slice(&part[..n]),
+            Ok(_) | Err(_) => return Err("NAK half a call"),
+        }
+    }
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -10,30 +10,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
-/// Two backends with common orders, discovery that lists them, and a proxy that holds the list.
-struct Scene {
-    orders: Arc<Orders>,
-    a: Backend,
-    b: Backend,
-    discovery: Discovery,
-    proxy: Proxy,
-}
-
-async fn scene(settings: serde_json::Value) -> Scene {
-    let orders = Arc::new(Orders::default());
-    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
-    let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
-    let proxy = Proxy::settled(&discovery, settings).await;
-    Scene { orders, a, b, discovery, proxy }
-}
-
-/// Settings with `cap` set to `value`.
-fn with_cap(cap: &str, value: serde_json::Value) -> serde_json::Value {
-    let mut s = settings();
-    s["caps"][cap] = value;
-    s
-}
-
 #[tokio::test]
 async fn a_call_is_served_and_goes_on_as_it_came() {
     let s = scene(settings()).await;
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -1,5 +1,6 @@
 //! The started program between callers, backends and discovery on loopback sockets. Nothing here decides or
 //! models anything: a backend does what a test tells it to, and tests wait for what they see.
+#![allow(dead_code)]
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
@@ -20,7 +21,7 @@
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::{Notify, watch};
@@ -47,6 +48,13 @@
     Hold(Arc<Notify>),
 }
 
+/// Settings with `cap` set to `value`.
+pub fn with_cap(cap: &str, value: Value) -> Value {
+    let mut s = settings();
+    s["caps"][cap] = value;
+    s
+}
+
 /// What backends have in common: the orders for the next requests, wherever they go, and what came.
 #[derive(Default)]
 pub struct Orders {
@@ -278,6 +286,8 @@
 
 pub struct Proxy {
     pub addr: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     config: std::path::PathBuf,
     child: Child,
     log: tokio::io::Lines<BufReader<ChildStderr>>,
@@ -310,13 +320,40 @@
             .spawn()
             .expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut ops = None;
         let addr = loop {
             let line = soon(log.next_line()).await.expect("readable").expect("it goes on");
+            if let Some((_, addr)) = line.split_once("ops on ") {
+                ops = Some(addr.parse().expect("an address"));
+            }
             if let Some((_, addr)) = line.split_once("listening on ") {
                 break addr.parse().expect("an address");
             }
         };
-        Proxy { addr, config: path, child, log }
+        Proxy { addr, ops, config: path, child, log }
+    }
+
+    /// A connection to the operators' address.
+    pub async fn operator(&self) -> TcpStream {
+        soon(TcpStream::connect(self.ops.expect("it has one"))).await.expect("it listens")
+    }
+
+    /// One call to the operators' address: all that it answers, which must come in time.
+    pub async fn tell(&self, call: &str) -> String {
+        let answer = async {
+            let mut stream = self.operator().await;
+            stream.write_all(format!("{call}\n").as_bytes()).await.expect("open");
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).await.expect("text");
+            answer
+        };
+        timeout(Duration::from_secs(1), answer).await.expect("answered within 1 s")
+    }
+
+    /// What `/health/ready` says.
+    pub async fn ready(&self) -> u16 {
+        let request = Request::get("/health/ready").header("host", "p").body(Full::default());
+        self.caller().await.send(request.expect("well formed")).await.0
     }
 
     /// The proxy, once it holds discovery's list.
@@ -420,3 +457,28 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Two backends with common orders, discovery that lists them, and a proxy that holds the list.
+pub struct Scene {
+    pub orders: Arc<Orders>,
+    pub a: Backend,
+    pub b: Backend,
+    pub discovery: Discovery,
+    pub proxy: Proxy,
+}
+
+pub async fn scene(settings: Value) -> Scene {
+    scene_with(settings, |_| {}).await
+}
+
+/// A scene whose proxy has a configuration of its own.
+pub async fn scene_with(settings: Value, change: impl FnOnce(&mut Value)) -> Scene {
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let discovery = Discovery::start(vec![a.line("SERVING"), b.line("SERVING")]).await;
+    let mut config = discovery.config(settings);
+    change(&mut config);
+    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    discovery.settled().await;
+    Scene { orders, a, b, discovery, proxy }
+}
