Count requests and attempts where they end, and read the figures out

The tests fail without the record in the answer's body (in_flight), the count at the flush (attempts) and the census.

--- a/src/api.rs
+++ b/src/api.rs
@@ -308,6 +308,15 @@
     },
 }
 
+/// The backends in the list, for operators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Those that take work or drain.
+    pub listed: usize,
+    /// Those of them that get no ordinary work now: out of service or draining.
+    pub excluded: usize,
+}
+
 /// Why settings were turned down.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SettingsError {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -205,6 +205,13 @@
         self.free_held(now, false, out);
     }
 
+    /// How many backends are listed, and how many of them this copy avoids.
+    pub fn census(&self) -> Census {
+        let listed = self.backends.values().filter(|b| b.entry.phase != Phase::Gone);
+        let avoided = |b: &&Backend| b.entry.phase == Phase::Draining || b.ejected();
+        Census { listed: listed.clone().count(), excluded: listed.filter(avoided).count() }
+    }
+
     fn period(&self) -> f64 {
         (self.s.tick * HOUSE_TICKS).max(1.0)
     }
--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -92,6 +92,7 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
     draining: Rc<Cell<usize>>,
+    attempts: Rc<Cell<u64>>,
 }
 
 struct Idle {
@@ -124,9 +125,9 @@
 }
 
 impl Pool {
-    /// An empty pool.
-    pub fn new(limits: Limits) -> Self {
-        Pool { limits, idle: RefCell::default(), open: Rc::default(), draining: Rc::default() }
+    /// An empty pool; attempts that it has written whole are counted in `attempts`.
+    pub fn new(limits: Limits, attempts: Rc<Cell<u64>>) -> Self {
+        Pool { limits, idle: RefCell::default(), open: Rc::default(), draining: Rc::default(), attempts }
     }
 
     /// Closes what is idle to an address.
@@ -188,7 +189,7 @@
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-        let watched = Watched::new(TokioIo::new(stream));
+        let watched = Watched::counting(TokioIo::new(stream), self.attempts.clone());
         let progress = watched.progress();
         let (sender, connection) = handshake(watched).await.map_err(|_| Outcome::ConnectFailed)?;
         tokio::task::spawn_local(async move {
--- /dev/null
+++ b/src/bin/heathroad/counters.rs
@@ -0,0 +1,117 @@
+//! What operators are told in figures. Each request and each attempt is counted once, where it ends.
+
+use serde_json::{Map, Value, json};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use turnshift::api::Census;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Its client has a backend's answer.
+    Served,
+    /// Turned away; a further try is harmless.
+    Refused,
+    /// Anything else.
+    Failed,
+}
+
+/// The figures of this process, from its start on.
+pub struct Counters {
+    classes: Vec<String>,
+    /// Served, refused and failed, for each class.
+    ended: RefCell<Vec<[u64; 3]>>,
+    in_flight: Cell<u64>,
+    attempts: Rc<Cell<u64>>,
+}
+
+impl Counters {
+    /// All at 0.
+    pub fn new(classes: Vec<String>) -> Rc<Self> {
+        let ended = RefCell::new(vec![[0; 3]; classes.len()]);
+        Rc::new(Counters { classes, ended, in_flight: Cell::default(), attempts: Rc::default() })
+    }
+
+    /// How many attempts have been written whole; whoever writes them counts here.
+    pub fn attempts(&self) -> Rc<Cell<u64>> {
+        self.attempts.clone()
+    }
+
+    /// A request of a class has come as far as its head.
+    pub fn record(self: &Rc<Self>, class: usize) -> Record {
+        Record { counters: self.clone(), class, taken: false, ending: Ending::Failed }
+    }
+
+    /// The figures as they are read out.
+    pub fn page(&self, census: Census) -> Value {
+        let ended = self.ended.borrow();
+        let of = |ending: Ending| -> Map<String, Value> {
+            let counts = ended.iter().map(|n| n[ending as usize].into());
+            self.classes.iter().cloned().zip(counts).collect()
+        };
+        json!({
+            "served": of(Ending::Served), "refused": of(Ending::Refused), "failed": of(Ending::Failed),
+            "attempts": self.attempts.get(), "in_flight": self.in_flight.get(),
+            "backends_known": census.listed, "backends_excluded": census.excluded,
+        })
+    }
+}
+
+/// A request; its end is counted when this is dropped. Unless told otherwise it has failed.
+pub struct Record {
+    counters: Rc<Counters>,
+    class: usize,
+    taken: bool,
+    ending: Ending,
+}
+
+impl Record {
+    /// Its last byte has come: an answer is owed.
+    pub fn taken(&mut self) {
+        if !std::mem::replace(&mut self.taken, true) {
+            self.counters.in_flight.update(|n| n + 1);
+        }
+    }
+
+    /// What its end will be.
+    pub fn ends(&mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        if self.taken {
+            self.counters.in_flight.update(|n| n - 1);
+        }
+        self.counters.ended.borrow_mut()[self.class][self.ending as usize] += 1;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_request_ends_in_one_count_and_leaves_nothing_in_flight() {
+        let counters = Counters::new(vec!["look".into(), "once".into()]);
+        let page = || counters.page(Census { listed: 3, excluded: 1 });
+        let (mut served, mut refused, mut left) =
+            (counters.record(0), counters.record(1), counters.record(1));
+        served.taken();
+        left.taken();
+        left.taken();
+        assert_eq!(page()["in_flight"], 2, "one that has not come whole is not in flight");
+        served.ends(Ending::Served);
+        refused.ends(Ending::Refused);
+        drop((served, refused, left));
+        counters.attempts().set(7);
+        let zero = json!({"look": 0, "once": 0});
+        let expected = json!({
+            "served": {"look": 1, "once": 0}, "refused": {"look": 0, "once": 1}, "failed": {"look": 0, "once": 1},
+            "attempts": 7, "in_flight": 0, "backends_known": 3, "backends_excluded": 1,
+        });
+        assert_eq!(page(), expected);
+        assert_eq!(Counters::new(vec!["look".into(), "once".into()]).page(Census::default())["served"], zero);
+    }
+}
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -13,7 +13,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use turnshift::Balancer;
 use turnshift::api::{
-    Action, Arrival, BackendId, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved, SettingsError,
+    Action, Arrival, BackendId, Census, Entry, Event, ListKind, Outcome, Phase, RequestId, Resolved,
+    SettingsError,
 };
 use turnshift::settings::Facts;
 
@@ -159,6 +160,11 @@
         self.state.borrow().targets.values().any(|t| t.drained.get().is_none())
     }
 
+    /// The backends in the list, as the module sees them.
+    pub fn census(&self) -> Census {
+        self.state.borrow().balancer.census()
+    }
+
     /// How many requests are owed an answer.
     pub fn owed(&self) -> usize {
         self.state.borrow().requests.values().filter(|r| matches!(r.life, Life::Owed(_))).count()
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -1,12 +1,13 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
 use crate::backend::{Call, MAX_BODY};
+use crate::counters::{Counters, Ending, Record};
 use crate::engine::{Answer, Engine, Incoming};
 use crate::lifecycle::{LINGER, Lifecycle, Phase};
 use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming as Inflow};
+use hyper::body::{Body, Frame, Incoming as Inflow, SizeHint};
 use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,8 +15,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -39,7 +41,34 @@
 /// Longest time that a caller may say it waits.
 const MAX_PATIENCE_MS: u64 = 600_000;
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<Outflow>;
+
+/// An answer's body. The request's record goes along and ends with it.
+#[derive(Default)]
+pub struct Outflow {
+    data: Full<Bytes>,
+    _record: Option<Record>,
+}
+
+impl Body for Outflow {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.data).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.data.size_hint()
+    }
+}
 
 /// What is needed to read requests.
 pub struct Front {
@@ -47,6 +76,8 @@
     pub engine: Rc<Engine>,
     /// The settings.
     pub facts: Facts,
+    /// Counts them.
+    pub counters: Rc<Counters>,
     /// Whether clients are taken.
     pub lifecycle: Rc<Lifecycle>,
     /// Most connections at once.
@@ -138,10 +169,10 @@
         let mut reply = match self.read(request, received).await {
             Err(reply) => *reply,
             // Places are held by callers at rest too: what is refused is work past what can be carried.
-            Ok(_) if crowded && self.engine.owed() >= self.connections => {
-                write(Answer::Refused { retry_after: None })
+            Ok((_, record)) if crowded && self.engine.owed() >= self.connections => {
+                write(Answer::Refused { retry_after: None }, record)
             }
-            Ok(incoming) => write(self.engine.decide(incoming).await),
+            Ok((incoming, record)) => write(self.engine.decide(incoming).await, record),
         };
         if crowded || !taking() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -150,7 +181,11 @@
     }
 
     /// Reads a request whole, or says what is wrong with it.
-    async fn read(&self, request: Request<Inflow>, received: Instant) -> Result<Incoming, Box<Reply>> {
+    async fn read(
+        &self,
+        request: Request<Inflow>,
+        received: Instant,
+    ) -> Result<(Incoming, Record), Box<Reply>> {
         let (head, body) = request.into_parts();
         let wrong = |status| Box::new(plain(status));
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -184,6 +219,7 @@
         }
         let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
         let about = about.filter(|k| !k.is_empty()).map(str::to_string);
+        let mut record = self.counters.record(class);
         // A caller that stops half-way through its body is not waited for beyond its own patience.
         let body = timeout_at(received + patience, collect(body)).await;
         let body = body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT)).map_err(wrong)?;
@@ -191,7 +227,8 @@
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
         let call = Call { method, uri, host, id, key, body };
         let (class, tenant) = (class as u16, tenant as u16);
-        Ok(Incoming { call, class, tenant, key: about, received, patience })
+        record.taken();
+        Ok((Incoming { call, class, tenant, key: about, received, patience }, record))
     }
 }
 
@@ -218,23 +255,26 @@
 }
 
 fn plain(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Full::default());
+    let mut reply = Response::new(Outflow::default());
     *reply.status_mut() = status;
     reply
 }
 
-fn write(answer: Answer) -> Reply {
-    match answer {
-        Answer::Served(body) => Response::new(Full::new(body)),
+fn write(answer: Answer, mut record: Record) -> Reply {
+    let (status, ending, data, wait) = match answer {
+        Answer::Served(body) => (StatusCode::OK, Ending::Served, body, None),
         Answer::Refused { retry_after } => {
-            let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE);
-            let seconds = retry_after.map(|d| format!("{:.3}", d.as_secs_f64()));
-            if let Some(value) = seconds.and_then(|s| HeaderValue::try_from(s).ok()) {
-                reply.headers_mut().insert(RETRY_AFTER, value);
-            }
-            reply
+            (StatusCode::SERVICE_UNAVAILABLE, Ending::Refused, Bytes::new(), retry_after)
         }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY),
-        Answer::TimedOut => plain(StatusCode::GATEWAY_TIMEOUT),
+        Answer::Failed => (StatusCode::BAD_GATEWAY, Ending::Failed, Bytes::new(), None),
+        Answer::TimedOut => (StatusCode::GATEWAY_TIMEOUT, Ending::Failed, Bytes::new(), None),
+    };
+    record.ends(ending);
+    let mut reply = Response::new(Outflow { data: Full::new(data), _record: Some(record) });
+    *reply.status_mut() = status;
+    let seconds = wait.map(|d| format!("{:.3}", d.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|s| HeaderValue::try_from(s).ok()) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
     }
+    reply
 }
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -4,6 +4,7 @@
 
 mod backend;
 mod config;
+mod counters;
 mod discovery;
 mod engine;
 mod front;
@@ -13,6 +14,7 @@
 
 use backend::Pool;
 use config::Config;
+use counters::Counters;
 use engine::{Engine, millis};
 use front::Front;
 use lifecycle::{LINGER, Lifecycle};
@@ -61,13 +63,15 @@
     let usable = config.sockets.checked_sub(aside).filter(|n| *n > 1);
     let usable = usable.ok_or("config: limits.sockets: too few to work with")?;
     let site = &config.facts.site;
-    let pool = Rc::new(Pool::new(backend::Limits {
+    let counters = Counters::new(site.classes.clone());
+    let limits = backend::Limits {
         connections: usable / 2,
         connect: millis(site.connect_timeout),
         idle: millis(site.conn_idle),
         drain_grace: millis(site.drain_grace),
         may_duplicate: site.may_duplicate,
-    }));
+    };
+    let pool = Rc::new(Pool::new(limits, counters.attempts()));
     let (watching, wanted) = watch::channel(false);
     let must_ask = config.facts.settings.must_ask;
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
@@ -77,7 +81,8 @@
     let lifecycle = Rc::new(Lifecycle::new());
     if let Some(address) = config.ops {
         let listener = bind("ops", address).await?;
-        let ops = Ops { engine: engine.clone(), lifecycle: lifecycle.clone() };
+        let counters = counters.clone();
+        let ops = Ops { engine: engine.clone(), counters, lifecycle: lifecycle.clone() };
         spawn_local(Rc::new(ops).serve(listener));
     }
     let listener = bind("listening", config.listen).await?;
@@ -101,8 +106,8 @@
         }
     });
     let connections = usable - usable / 2;
-    let front =
-        Front { engine: engine.clone(), facts: config.facts, lifecycle: lifecycle.clone(), connections };
+    let (facts, life) = (config.facts, lifecycle.clone());
+    let front = Front { engine: engine.clone(), facts, counters, lifecycle: life, connections };
     let serving = spawn_local(Rc::new(front).serve(listener));
     terminated.recv().await;
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
--- a/src/bin/heathroad/ops.rs
+++ b/src/bin/heathroad/ops.rs
@@ -1,5 +1,6 @@
 //! The operators' address: one line to a connection, one answer, then a close.
 
+use crate::counters::Counters;
 use crate::engine::Engine;
 use crate::lifecycle::{Lifecycle, Phase};
 use std::collections::VecDeque;
@@ -29,6 +30,8 @@
 pub struct Ops {
     /// Tells whether requests can be decided.
     pub engine: Rc<Engine>,
+    /// The figures.
+    pub counters: Rc<Counters>,
     /// Is told to empty the proxy, or to take clients again.
     pub lifecycle: Rc<Lifecycle>,
 }
@@ -88,6 +91,7 @@
         };
         match call {
             "health" => say(self.engine.ready() && phase != Phase::Stopping),
+            "counters" => format!("{}\n--", self.counters.page(self.engine.census())),
             "quiesce" => say(self.lifecycle.quiesce()),
             "resume" => say(self.lifecycle.resume()),
             _ => "NAK unknown call".to_string(),
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -23,6 +23,7 @@
     body_taken: Cell<bool>,
     begun: Cell<bool>,
     flushed: Cell<bool>,
+    wholes: Rc<Cell<u64>>,
 }
 
 impl Progress {
@@ -87,7 +88,12 @@
 impl<S> Watched<S> {
     /// Watches a stream.
     pub fn new(stream: S) -> Self {
-        Watched { stream, progress: Rc::default(), stalled: None }
+        Watched::counting(stream, Rc::default())
+    }
+
+    /// Watches a stream and counts the requests that it has written whole.
+    pub fn counting(stream: S, wholes: Rc<Cell<u64>>) -> Self {
+        Watched { stream, progress: Rc::new(Progress { wholes, ..Progress::default() }), stalled: None }
     }
 
     /// What is seen.
@@ -138,8 +144,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.begun.get() && self.progress.body_taken.get() {
-            self.progress.flushed.set(true);
+        let p = &self.progress;
+        if p.begun.get() && p.body_taken.get() && !p.flushed.replace(true) {
+            p.wholes.update(|n| n + 1);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -375,6 +375,25 @@
     assert!(sends.get(&2).copied().unwrap_or(0) > 20, "ejected on two errors: {sends:?}");
 }
 
+/// What operators read: draining backends and those out of service are avoided, gone ones are not listed.
+#[test]
+fn the_census_tells_who_is_avoided() {
+    let mut p = Proxy::new(plain(1), 1, entries(6));
+    run(&mut p, 2000.0, well);
+    assert_eq!(p.balancer.census(), Census { listed: 6, excluded: 0 });
+    for _ in 0..2000 {
+        p.ask(0, 0, 4000.0);
+        for (id, n, s) in p.out() {
+            p.resolve(id, n, if s.backend == 2 { Outcome::Error } else { Outcome::Ok });
+        }
+        p.advance(p.now + 5.0);
+    }
+    assert_eq!(p.balancer.census(), Census { listed: 6, excluded: 1 }, "it fails all its calls");
+    let phased = |backend, phase| Entry { phase, ..entry(backend) };
+    p.list(ListKind::Delta, vec![phased(1, Phase::Draining), phased(3, Phase::Gone)]);
+    assert_eq!(p.balancer.census(), Census { listed: 5, excluded: 2 });
+}
+
 /// Repeats of what may have run are a share of the traffic: a failing fleet is not stormed.
 #[test]
 fn repeats_are_bounded() {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::Full;
 use rig::*;
+use serde_json::{Value, json};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -155,3 +156,63 @@
     assert_eq!(kept.send(call).await.0, 200, "straight after the call it is still open");
     assert!(soon(kept.0.ready()).await.is_err());
 }
+
+/// The figures, once `settled` says of them that all that the test did is in.
+async fn figures(s: &Scene, settled: impl Fn(&Value) -> bool) -> Value {
+    let read = async {
+        loop {
+            let answer = s.proxy.tell("counters").await;
+            let [page, "--"] = answer.lines().collect::<Vec<_>>()[..] else { panic!("{answer}") };
+            let page: Value = serde_json::from_str(page).expect("JSON");
+            if settled(&page) {
+                return page;
+            }
+        }
+    };
+    soon(read).await
+}
+
+/// Served, retried, failed, refused, left and malformed: the figures are what backends and clients saw.
+#[tokio::test]
+async fn the_figures_are_what_clients_and_backends_saw() {
+    let s = in_service().await;
+    for class in ["look", "look", "keep", "once"] {
+        assert_eq!(s.proxy.call(class).await.0, 200);
+    }
+    s.orders.give([Do::Break, Do::Serve, Do::Answer(500), Do::Decline(503), Do::Serve]);
+    assert_eq!(s.proxy.call("look").await.0, 200, "in two attempts");
+    assert_eq!(s.proxy.call("once").await.0, 502, "in one");
+    assert_eq!(s.proxy.call("once").await.0, 200, "in two");
+    assert_eq!(
+        s.proxy.caller().await.send(request("look").uri("/other").body(Full::default()).unwrap()).await.0,
+        404
+    );
+    let release = Arc::new(Notify::new());
+    s.orders.give([Do::Hold(release.clone()), Do::Hold(release.clone())]);
+    let (mut stays, mut leaves) = (s.proxy.caller().await, s.proxy.caller().await);
+    let stays = tokio::spawn(async move { stays.call("keep").await });
+    let leaves = tokio::spawn(async move { leaves.call("keep").await });
+    s.orders.came(11).await;
+    let page = figures(&s, |_| true).await;
+    assert_eq!((&page["in_flight"], &page["attempts"]), (&2.into(), &11.into()));
+    assert_eq!((&page["backends_known"], &page["backends_excluded"]), (&2.into(), &0.into()));
+    assert_eq!(page["served"], json!({"look": 3, "keep": 1, "once": 2}));
+    assert_eq!(page["failed"], json!({"look": 0, "keep": 0, "once": 1}));
+    assert_eq!(page["refused"], json!({"look": 0, "keep": 0, "once": 0}));
+    leaves.abort();
+    let page = figures(&s, |page| page["in_flight"] == 1).await;
+    let of_keep = |page: &Value| ["served", "refused", "failed"].map(|e| page[e]["keep"].as_u64().unwrap());
+    assert_eq!(of_keep(&page).iter().sum::<u64>(), 2, "who left is counted once");
+    release.notify_one();
+    release.notify_one();
+    assert_eq!(stays.await.expect("no panic").0, 200);
+    let page = figures(&s, |page| page["in_flight"] == 0).await;
+    assert_eq!(of_keep(&page).iter().sum::<u64>(), 3);
+    assert_eq!(page["attempts"].as_u64(), Some(s.orders.seen.borrow().len() as u64));
+    s.discovery.tell(vec![s.a.line("DRAINING"), s.b.line("SERVING")]).await;
+    let page = figures(&s, |_| true).await;
+    assert_eq!((&page["backends_known"], &page["backends_excluded"]), (&2.into(), &1.into()));
+    s.discovery.tell(vec![s.b.line("SERVING")]).await;
+    let page = figures(&s, |_| true).await;
+    assert_eq!((&page["backends_known"], &page["backends_excluded"]), (&1.into(), &0.into()));
+}
