--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -381,13 +381,8 @@
     let mut p = Proxy::new(plain(1), 1, entries(6));
     run(&mut p, 2000.0, well);
     assert_eq!(p.balancer.census(), Census { listed: 6, excluded: 0 });
-    for _ in 0..2000 {
-        p.ask(0, 0, 4000.0);
-        for (id, n, s) in p.out() {
-            p.resolve(id, n, if s.backend == 2 { Outcome::Error } else { Outcome::Ok });
-        }
-        p.advance(p.now + 5.0);
-    }
+    let bad = |s: &Sent, now: f64| if s.backend == 2 { Some(Outcome::Error) } else { well(s, now) };
+    run(&mut p, 4000.0, bad);
     assert_eq!(p.balancer.census(), Census { listed: 6, excluded: 1 }, "it fails all its calls");
     let phased = |backend, phase| Entry { phase, ..entry(backend) };
     p.list(ListKind::Delta, vec![phased(1, Phase::Draining), phased(3, Phase::Gone)]);
