Share the clients' address, so that a new process takes over from the old one

The tests fail without SO_REUSEPORT (the second process ends), without the reading of the queue, without the bound.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
@@ -88,17 +88,20 @@
     }
 }
 
-/// Follows discovery for ever, wherever it moves to: there it begins with the whole list.
+/// Follows discovery for ever, wherever it moves to: there it begins with the whole list. The first one to
+/// come is reported to `listed`.
 pub async fn follow(
     engine: Rc<Engine>,
     mut address: watch::Receiver<SocketAddr>,
     must_ask: bool,
     wanted: watch::Receiver<bool>,
+    listed: oneshot::Sender<()>,
 ) {
+    let mut listed = Some(listed);
     loop {
         let at = *address.borrow_and_update();
         tokio::select! {
-            () = follow_at(&engine, at, must_ask, wanted.clone()) => return,
+            () = follow_at(&engine, at, must_ask, wanted.clone(), &mut listed) => return,
             Ok(()) = address.changed() => {}
         }
     }
@@ -111,6 +114,7 @@
     address: SocketAddr,
     must_ask: bool,
     mut wanted: watch::Receiver<bool>,
+    listed: &mut Option<oneshot::Sender<()>>,
 ) {
     let (mut seq, mut link, mut pause) = (None, None, BACKOFF[0]);
     loop {
@@ -128,6 +132,10 @@
                 if news {
                     let kind = if page.whole { ListKind::Full } else { ListKind::Delta };
                     engine.list(kind, page.entries());
+                    if let Some(listed) = listed.take() {
+                        // Nobody may wait for it any more.
+                        let _ = listed.send(());
+                    }
                 } else if asked.elapsed() < LULL {
                     sleep(LULL).await;
                 }
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -3,7 +3,7 @@
 use crate::backend::{Call, MAX_BODY};
 use crate::counters::{Counters, Ending, Record};
 use crate::engine::{Answer, Engine, Incoming};
-use crate::lifecycle::{LINGER, Lifecycle, Phase};
+use crate::lifecycle::{LINGER, Lifecycle};
 use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -116,7 +117,11 @@
                 }
             }
         }
-        drop(listener);
+        // Where another process has taken over the address, nobody else will come for what still waits here.
+        let waiting = queued(listener).unwrap_or_default();
+        for stream in waiting {
+            open.spawn_local(self.clone().connection(stream, crowd.subscribe(), true));
+        }
         while open.join_next().await.is_some() {}
     }
 
@@ -161,7 +166,7 @@
 
     async fn answer(&self, request: Request<Inflow>, crowded: bool) -> Result<Reply, Infallible> {
         let received = Instant::now();
-        let taking = || self.lifecycle.phase() == Phase::Serving;
+        let taking = || self.lifecycle.phase().takes();
         if request.uri().path() == "/health/ready" {
             let ready = self.engine.ready() && taking();
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
@@ -232,6 +237,18 @@
     }
 }
 
+/// Takes what a listener's queue holds and closes it.
+fn queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    // Asked directly: the reactor may not have heard yet of the last ones to come.
+    let listener = listener.into_std()?;
+    let mut waiting = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        waiting.push(TcpStream::from_std(stream)?);
+    }
+    Ok(waiting)
+}
+
 /// A body of bounded length. One that is somewhat too long is read to its end, so that the caller, which may
 /// be writing still, gets to read why it is turned down.
 async fn collect(mut body: Inflow) -> Result<Bytes, StatusCode> {
@@ -278,3 +295,24 @@
     }
     reply
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Closed with its queue full, a listener would reset those who wait in it.
+    #[tokio::test]
+    async fn who_waits_in_a_listeners_queue_is_taken_before_it_closes() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let connect = |_| std::net::TcpStream::connect(address).expect("the queue takes it");
+        let clients: Vec<_> = (0..5).map(connect).collect();
+        let taken = queued(listener).expect("sound");
+        let mut peers: Vec<_> = taken.iter().map(|s| s.peer_addr().expect("open")).collect();
+        let mut expected: Vec<_> = clients.iter().map(|c| c.local_addr().expect("open")).collect();
+        peers.sort();
+        expected.sort();
+        assert_eq!(peers, expected);
+        assert!(std::net::TcpStream::connect(address).is_err(), "and nobody waits for nothing");
+    }
+}
--- a/src/bin/heathroad/lifecycle.rs
+++ b/src/bin/heathroad/lifecycle.rs
@@ -12,6 +12,8 @@
 /// What the process does about clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// Does not listen yet.
+    Starting,
     /// Takes them.
     Serving,
     /// Serves those that still come and lets them go.
@@ -21,9 +23,20 @@
 }
 
 impl Phase {
+    /// Whether clients are taken and kept.
+    pub fn takes(self) -> bool {
+        self == Phase::Serving
+    }
+
+    /// Whether clients are let go.
+    fn lets_go(self) -> bool {
+        matches!(self, Phase::Draining | Phase::Stopping)
+    }
+
     /// Its name, for operators.
     pub fn name(self) -> &'static str {
         match self {
+            Phase::Starting => "starting",
             Phase::Serving => "serving",
             Phase::Draining => "draining",
             Phase::Stopping => "stopping",
@@ -35,9 +48,14 @@
 pub struct Lifecycle(watch::Sender<Phase>);
 
 impl Lifecycle {
-    /// A process that takes clients.
+    /// A process that has just started.
     pub fn new() -> Self {
-        Lifecycle(watch::Sender::new(Phase::Serving))
+        Lifecycle(watch::Sender::new(Phase::Starting))
+    }
+
+    /// It listens now.
+    pub fn begin(&self) {
+        self.0.send_replace(Phase::Serving);
     }
 
     /// What it does now.
@@ -61,7 +79,8 @@
     }
 
     fn turn(&self, to: Phase) -> bool {
-        self.0.send_if_modified(|now| *now != Phase::Stopping && std::mem::replace(now, to) != to);
+        let settled = |now: Phase| matches!(now, Phase::Starting | Phase::Stopping);
+        self.0.send_if_modified(|now| !settled(*now) && std::mem::replace(now, to) != to);
         self.phase() == to
     }
 
@@ -70,10 +89,10 @@
         let mut phase = self.0.subscribe();
         loop {
             // The sender is this one's own and is not gone.
-            let _ = phase.wait_for(|p| *p != Phase::Serving).await;
+            let _ = phase.wait_for(|p| p.lets_go()).await;
             tokio::select! {
                 () = sleep(LINGER) => return,
-                _ = phase.wait_for(|p| *p == Phase::Serving) => {}
+                _ = phase.wait_for(|p| !p.lets_go()) => {}
             }
         }
     }
@@ -93,6 +112,7 @@
     #[tokio::test(start_paused = true)]
     async fn a_resume_straight_after_a_quiesce_releases_nobody() {
         let life = Lifecycle::new();
+        life.begin();
         let mut released = pin!(life.released());
         for _ in 0..3 {
             assert!(life.quiesce() && life.phase() == Phase::Draining);
@@ -109,6 +129,8 @@
     #[tokio::test]
     async fn a_stop_during_a_drain_is_for_good() {
         let life = Lifecycle::new();
+        assert!(!life.quiesce() && !life.resume() && life.phase() == Phase::Starting);
+        life.begin();
         assert!(life.quiesce());
         life.stop();
         assert!(!life.resume() && !life.quiesce());
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -23,15 +23,19 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 use turnshift::api::ListKind;
 
 /// So long after SIGTERM all that was taken must be answered; a kill may follow soon after.
 const LAST: Duration = Duration::from_millis(3300);
+/// A start waits so long for discovery's first list before it takes clients.
+const FIRST_LIST: Duration = Duration::from_millis(1500);
+/// Connections that the system may keep waiting.
+const BACKLOG: u32 = 1024;
 /// How often kept connections are looked through for old ones.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
@@ -80,14 +84,21 @@
     engine.list(ListKind::Cached, known);
     let lifecycle = Rc::new(Lifecycle::new());
     if let Some(address) = config.ops {
-        let listener = bind("ops", address).await?;
+        let listener = bind("ops", address, false)?;
         let counters = counters.clone();
         let ops = Ops { engine: engine.clone(), counters, lifecycle: lifecycle.clone() };
         spawn_local(Rc::new(ops).serve(listener));
     }
-    let listener = bind("listening", config.listen).await?;
+    // The process that this one may replace serves on, so that there is time to ask for the list first; without
+    // an address for operators it replaces nobody and says by /health/ready when it can serve.
     let (moved, discovery) = watch::channel(config.discovery);
-    spawn_local(discovery::follow(engine.clone(), discovery, must_ask, wanted));
+    let (listed, first) = oneshot::channel();
+    spawn_local(discovery::follow(engine.clone(), discovery, must_ask, wanted, listed));
+    if config.ops.is_some() {
+        // With no list in time, the one that it had must do.
+        let _ = timeout(FIRST_LIST, first).await;
+    }
+    let listener = bind("listening", config.listen, config.ops.is_some())?;
     spawn_local(async move {
         while reloaded.recv().await.is_some() {
             match config::discovery() {
@@ -106,6 +117,7 @@
         }
     });
     let connections = usable - usable / 2;
+    lifecycle.begin();
     let (facts, life) = (config.facts, lifecycle.clone());
     let front = Front { engine: engine.clone(), facts, counters, lifecycle: life, connections };
     let serving = spawn_local(Rc::new(front).serve(listener));
@@ -118,9 +130,18 @@
     ended.map_or(Ok(()), |served| served.map_err(|e| format!("front: {e}")))
 }
 
-/// Listens, and says where.
-async fn bind(what: &str, address: SocketAddr) -> Result<TcpListener, String> {
-    let listener = TcpListener::bind(address).await.map_err(|e| format!("{what}: {address}: {e}"))?;
+/// Listens, and says where. A shared address may have another process at it, which it replaces.
+fn bind(what: &str, address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
+    let listen = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        if shared {
+            socket.set_reuseport(true)?;
+        }
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    let listener = listen().map_err(|e| format!("{what}: {address}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("{what}: {e}"))?;
     eprintln!("heathroad: {what} on {bound}");
     Ok(listener)
--- a/src/bin/heathroad/ops.rs
+++ b/src/bin/heathroad/ops.rs
@@ -84,13 +84,13 @@
     }
 
     fn answer(&self, call: &str) -> String {
-        let phase = self.lifecycle.phase();
         let say = |yes: bool| {
-            let state = if self.engine.ready() { self.lifecycle.phase().name() } else { "starting" };
+            let state = if self.engine.ready() { self.lifecycle.phase().name() } else { "no backend" };
             format!("{} {state}", if yes { "ACK" } else { "NAK" })
         };
+        let can_serve = || matches!(self.lifecycle.phase(), Phase::Serving | Phase::Draining);
         match call {
-            "health" => say(self.engine.ready() && phase != Phase::Stopping),
+            "health" => say(self.engine.ready() && can_serve()),
             "counters" => format!("{}\n--", self.counters.page(self.engine.census())),
             "quiesce" => say(self.lifecycle.quiesce()),
             "resume" => say(self.lifecycle.resume()),
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -307,30 +307,41 @@
         Proxy::start_as(&discovery.config(settings), "exec \"$0\"").await
     }
 
-    /// Starts the program by a shell command in which it is `$0`.
+    /// Starts the program by a shell command in which it is `$0`, and waits until it listens.
     pub async fn start_as(config: &Value, command: &str) -> Self {
+        let mut proxy = Proxy::spawn(config, command);
+        if config["ops"].is_string() {
+            proxy.ops = Some(proxy.says("ops on ").await);
+        }
+        proxy.addr = proxy.says("listening on ").await;
+        proxy
+    }
+
+    /// Starts the program; its addresses are not known yet.
+    pub fn spawn(config: &Value, command: &str) -> Self {
         let path = write_config(&config.to_string());
         let mut child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_heathroad")])
             .env_remove("RELAY_LISTEN")
+            .env_remove("RELAY_OPS")
             .env("RELAY_DISCOVERY", config["discovery"].as_str().expect("text"))
             .env("RELAY_CONFIG", &path)
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .expect("it starts");
-        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let mut ops = None;
-        let addr = loop {
-            let line = soon(log.next_line()).await.expect("readable").expect("it goes on");
-            if let Some((_, addr)) = line.split_once("ops on ") {
-                ops = Some(addr.parse().expect("an address"));
-            }
-            if let Some((_, addr)) = line.split_once("listening on ") {
-                break addr.parse().expect("an address");
+        let log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        Proxy { addr: SocketAddr::from(([0; 4], 0)), ops: None, config: path, child, log }
+    }
+
+    /// Waits until the program names an address in its log.
+    pub async fn says(&mut self, what: &str) -> SocketAddr {
+        loop {
+            let line = soon(self.log.next_line()).await.expect("readable").expect("it goes on");
+            if let Some((_, addr)) = line.split_once(what) {
+                return addr.parse().expect("an address");
             }
-        };
-        Proxy { addr, ops, config: path, child, log }
+        }
     }
 
     /// A connection to the operators' address.
