Let bodies and answers over 64 KiB flow through, with backpressure both ways

The tests fail without: flowing (413 and 502), buffers of fixed size and the hand-over of frames (memory), the pace (a body that stops is held for its caller's minute), passed (a spent body goes out again), Event::Whole (calls in flight, silence).

--- a/src/api.rs
+++ b/src/api.rs
@@ -213,6 +213,8 @@
     pub tenant: u16,
     /// When its client gives up.
     pub deadline: f64,
+    /// Its body still comes and flows through the attempt that is out; [`Event::Whole`] tells of its last byte.
+    pub coming: bool,
 }
 
 /// How an attempt ended.
@@ -230,6 +232,8 @@
     pub wait: f64,
     /// The request is over; nothing more is owed.
     pub closed: bool,
+    /// Part of its body is gone: it cannot be sent again.
+    pub spent: bool,
 }
 
 /// What the copy is told.
@@ -244,6 +248,13 @@
     },
     /// A request arrived; exactly one final answer is owed.
     Request(Arrival),
+    /// The last byte of a request came that had arrived without: its attempt's backend can begin.
+    Whole {
+        /// The request.
+        request: RequestId,
+        /// When its client gives up.
+        deadline: f64,
+    },
     /// An attempt ended.
     Resolved(Resolved),
     /// The client left; nothing more is owed.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -193,6 +193,7 @@
         match event {
             Event::List { kind, entries } => self.on_list(now, kind, entries, out),
             Event::Request(arrival) => self.on_request(now, &arrival, out),
+            Event::Whole { request, deadline } => self.on_whole(now, request, deadline),
             Event::Resolved(resolved) => self.on_resolved(now, &resolved, out),
             Event::Hangup { request } => self.end(now, request, out),
             Event::Wake { token: HOUSEKEEPING } => self.housekeep(now, out),
@@ -328,8 +329,9 @@
         // With room but no backend or no turn, held while an answer can still be in time.
         let hold = if free || behind { aim - self.limiter.mean } else { self.hold };
         let hold_until = (now + hold).min(last);
-        let (deadline, attempts) = (arrival.deadline, Vec::new());
-        self.requests.insert(id, Request { key, class, slice, deadline, hold_until, ended: false, attempts });
+        let (deadline, attempts, ended, coming) = (arrival.deadline, Vec::new(), false, arrival.coming);
+        let request = Request { key, class, slice, deadline, hold_until, ended, coming, attempts };
+        self.requests.insert(id, request);
         if free && self.send(now, id, out) {
             return;
         }
@@ -407,20 +409,39 @@
         let Some(r) = self.requests.get_mut(&id) else { return false };
         let Some(b) = self.backends.get_mut(&to) else { return false };
         b.cold_tokens -= 1.0; // means nothing once it is warm
+        let place = (b.entry.zone, b.entry.cell);
+        let attempt = Attempt { backend: to, place, sent: now, out: true, never_ran: false, counted: false };
+        r.attempts.push(attempt);
+        out.push(Action::Send { request: id, backend: to, not_past: r.deadline });
+        if !r.coming {
+            self.begin(now, id);
+        }
+        true
+    }
+
+    /// The backend of the attempt that is out can begin: from now on it is a call in flight, and timed.
+    fn begin(&mut self, now: f64, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(a) = r.attempts.iter_mut().rfind(|a| a.out) else { return };
+        let Some(b) = self.backends.get_mut(&a.backend) else { return };
         if b.calls.is_empty() {
             b.heard = now;
         }
         b.calls.push_back((id, now));
-        let (place, counted) = ((b.entry.zone, b.entry.cell), !b.ejected());
-        r.attempts.push(Attempt { backend: to, place, sent: now, out: true, never_ran: false, counted });
-        out.push(Action::Send { request: id, backend: to, not_past: r.deadline });
-        let (class, slice) = (r.class, r.slice);
+        (a.sent, a.counted) = (now, !b.ejected());
+        let (counted, class, slice) = (a.counted, r.class, r.slice);
         if counted {
             self.count(class, slice, 1.0);
             self.peak = self.peak.max(self.inflight);
             self.limiter.used |= self.inflight >= 0.8 * self.limiter.total;
         }
-        true
+    }
+
+    /// A request's last byte came: how long its client took for it was no backend's time.
+    fn on_whole(&mut self, now: f64, id: RequestId, deadline: f64) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.coming) else { return };
+        (r.coming, r.deadline) = (false, deadline);
+        self.begin(now, id);
     }
 
     /// Ends a request: refused where a further try is harmless, failed otherwise.
@@ -472,7 +493,7 @@
         let over = e.closed || r.ended;
         let (hold_until, free_move) = (r.hold_until, r.attempts.iter().all(|a| a.never_ran));
         let still_out = r.attempts.iter().any(|a| a.out);
-        let spare = r.attempts.len() < self.s.caps.try_limit as usize;
+        let spare = r.attempts.len() < self.s.caps.try_limit as usize && !e.spent;
         if counted {
             self.count(class, slice, -1.0);
         }
@@ -481,7 +502,8 @@
         if over {
             return self.end(now, id, out);
         }
-        if still_out || e.outcome != Outcome::Malformed && self.resend(now, id, free_move, out) {
+        let again = spare && e.outcome != Outcome::Malformed;
+        if still_out || again && self.resend(now, id, free_move, out) {
             return;
         }
         // Held only with an attempt to spare: those past the limit come back unsent, for ever.
@@ -511,7 +533,7 @@
         let Some(b) = self.backends.get(&id).filter(|b| b.entry.phase == Phase::Ready) else { return false };
         let effect = self.s.classes[r.class].effect;
         // A backend out of service gets a trial, one repeatable request, once its time is up.
-        let trial = effect != Effect::Fragile && now >= b.ejected_until && b.calls.is_empty();
+        let trial = effect != Effect::Fragile && !r.coming && now >= b.ejected_until && b.calls.is_empty();
         let cold = b.warmth(&self.s.rules, now) < 1.0 && b.cold_tokens < 1.0;
         if cold || b.ejected() && !trusting && !trial || r.attempts.last().is_some_and(|a| a.backend == id) {
             return false;
--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -1,9 +1,10 @@
 //! The backends' side: a pool of kept connections, and attempts with what each ending means.
 
+use crate::body::{self, Flow, Paced, Rest};
+use crate::engine::MARGIN;
 use crate::stream::{Outgoing, Progress, Watched};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use bytes::{Bytes, BytesMut};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, header};
 use hyper_util::rt::TokioIo;
@@ -19,8 +20,8 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use turnshift::api::Outcome;
 
-/// Longest body that is passed on in either direction.
-pub const MAX_BODY: usize = 64 * 1024;
+/// An answer that does not tell its length and is not whole so long after its first bytes is passed on as it comes.
+const EARLY: Duration = Duration::from_millis(300);
 /// An overtaken attempt's answer is awaited so long, to keep its connection: longer than most work takes.
 const DRAIN: Duration = Duration::from_secs(5);
 /// Connections on which overtaken answers are awaited, as a share of all.
@@ -40,8 +41,18 @@
     pub id: HeaderValue,
     /// `Idempotency-Key`.
     pub key: Option<HeaderValue>,
-    /// Its body.
-    pub body: Bytes,
+    /// Its body, or the first part of it.
+    pub held: Bytes,
+    /// What follows that, where the body is too long to be held.
+    pub rest: Option<Rc<Rest>>,
+}
+
+/// A backend's answer to pass on.
+pub struct Served {
+    /// Its body, or the first part of it.
+    pub data: Bytes,
+    /// What follows that.
+    pub rest: Option<Paced>,
 }
 
 /// Where a backend is reached, and since when it is known to drain or be gone.
@@ -57,7 +68,7 @@
 /// How an attempt ended.
 pub enum End {
     /// With an answer to pass on.
-    Served(Bytes),
+    Served(Served),
     /// Otherwise.
     Unserved(Outcome),
 }
@@ -191,7 +202,11 @@
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
         let watched = Watched::counting(TokioIo::new(stream), self.attempts.clone());
         let progress = watched.progress();
-        let (sender, connection) = handshake(watched).await.map_err(|_| Outcome::ConnectFailed)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(body::BUFFER)
+            .handshake(watched)
+            .await
+            .map_err(|_| Outcome::ConnectFailed)?;
         tokio::task::spawn_local(async move {
             let _place = place;
             // Its end shows at the sender, where it has a meaning.
@@ -231,11 +246,13 @@
         let given_up = tokio::select! {
             biased;
             end = &mut exchange => return report(end),
-            () = sleep_until(not_past) => Outcome::Timeout,
+            () = call.late(not_past) => Outcome::Timeout,
             Ok(()) = &mut cancelled => Outcome::Cancelled,
         };
-        report(End::Unserved(given_up));
-        if written.get() && pool.limits.may_duplicate {
+        let came = call.came();
+        // Without its last byte it is no request, and its sender's pace says nothing of the backend.
+        report(End::Unserved(if came { given_up } else { Outcome::Moot }));
+        if came && written.get() && pool.limits.may_duplicate {
             let most = pool.limits.connections / DRAIN_SHARE;
             if let Some(_place) = Place::take(&pool.draining, most) {
                 // Whether it came or not, nobody waits for the answer itself.
@@ -271,6 +288,7 @@
     written.set(true);
     let answer = match link.sender.send_request(request).await {
         Ok(answer) => answer,
+        Err(_) if !call.came() && call.broken() => return End::Unserved(Outcome::Moot),
         // Only the connection knows whether the backend can have the whole request.
         Err(_) if link.progress.whole() => return End::Unserved(Outcome::Reset),
         Err(_) => return End::Unserved(Outcome::ConnectFailed),
@@ -292,11 +310,11 @@
     let (head, body) = answer.into_parts();
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
     // An answer that breaks off is none: the request may have run.
-    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
+    let Ok(served) = hold(Paced::new(body, body::BACKEND)).await else {
         return End::Unserved(Outcome::Reset);
     };
     match head.status {
-        StatusCode::OK => End::Served(body.to_bytes()),
+        StatusCode::OK => End::Served(served),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
             End::Unserved(Outcome::Full)
         }
@@ -305,9 +323,44 @@
     }
 }
 
+/// Small answers whole, of longer ones the first bytes: those are timed, and the rest is not to be held back.
+async fn hold(mut body: Paced) -> io::Result<Served> {
+    let long = |n: u64| n > body::SMALL as u64;
+    let (length, mut held) = (body.left(), BytesMut::new());
+    let Some(first) = body.next().await? else { return Ok(Served { data: Bytes::new(), rest: None }) };
+    if length.is_some_and(long) {
+        return Ok(Served { data: first, rest: Some(body) });
+    }
+    held.extend_from_slice(&first);
+    let whole = match length {
+        Some(_) => body.hold(&mut held).await?,
+        None => timeout(EARLY, body.hold(&mut held)).await.unwrap_or(Ok(false))?,
+    };
+    Ok(Served { data: held.freeze(), rest: (!whole).then_some(body) })
+}
+
 impl Call {
+    /// Whether its last byte has come.
+    pub fn came(&self) -> bool {
+        self.rest.as_ref().is_none_or(|r| matches!(r.state(), Flow::Whole(_)))
+    }
+
+    fn broken(&self) -> bool {
+        self.rest.as_ref().is_some_and(|r| r.state() == Flow::Broken)
+    }
+
+    /// Waits until an answer would be late. A body that is still coming has its own time limit.
+    async fn late(&self, not_past: Instant) {
+        let Some(rest) = &self.rest else { return sleep_until(not_past).await };
+        match rest.settled().await {
+            Flow::Whole(at) => sleep_until(at + rest.patience.saturating_sub(MARGIN)).await,
+            _ => std::future::pending().await,
+        }
+    }
+
     fn request(&self, progress: &Rc<Progress>, not_past: Instant) -> Option<Request<Outgoing>> {
-        let left = not_past.saturating_duration_since(Instant::now()).as_millis() as u64;
+        let left = not_past.saturating_duration_since(Instant::now());
+        let left = self.rest.as_ref().map_or(left, |r| r.patience).as_millis() as u64;
         let mut request = Request::builder().method(self.method.clone()).uri(self.uri.clone());
         let headers = request.headers_mut()?;
         let host = self.host.clone().unwrap_or(HeaderValue::from_static("heathroad"));
@@ -317,9 +370,9 @@
         if let Some(key) = &self.key {
             headers.insert("idempotency-key", key.clone());
         }
-        if self.body.is_empty() && self.method != Method::GET {
+        if self.held.is_empty() && self.rest.is_none() && self.method != Method::GET {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
         }
-        request.body(Outgoing::new(self.body.clone(), progress.clone())).ok()
+        request.body(Outgoing::new(self.held.clone(), self.rest.clone(), progress.clone())).ok()
     }
 }
--- a/src/bin/heathroad/counters.rs
+++ b/src/bin/heathroad/counters.rs
@@ -39,7 +39,7 @@
 
     /// A request of a class has come as far as its head.
     pub fn record(self: &Rc<Self>, class: usize) -> Record {
-        Record { counters: self.clone(), class, taken: false, ending: Ending::Failed }
+        Record { counters: self.clone(), class, taken: false, ending: None }
     }
 
     /// The figures as they are read out.
@@ -57,12 +57,13 @@
     }
 }
 
-/// A request; its end is counted when this is dropped. Unless told otherwise it has failed.
+/// A request; its end is counted when this is dropped. Unless told otherwise one that was taken has failed; one
+/// that never came whole and was not answered is none.
 pub struct Record {
     counters: Rc<Counters>,
     class: usize,
     taken: bool,
-    ending: Ending,
+    ending: Option<Ending>,
 }
 
 impl Record {
@@ -75,7 +76,7 @@
 
     /// What its end will be.
     pub fn ends(&mut self, ending: Ending) {
-        self.ending = ending;
+        self.ending = Some(ending);
     }
 }
 
@@ -84,7 +85,9 @@
         if self.taken {
             self.counters.in_flight.update(|n| n - 1);
         }
-        self.counters.ended.borrow_mut()[self.class][self.ending as usize] += 1;
+        if let Some(ending) = self.ending.or(self.taken.then_some(Ending::Failed)) {
+            self.counters.ended.borrow_mut()[self.class][ending as usize] += 1;
+        }
     }
 }
 
@@ -104,7 +107,7 @@
         assert_eq!(page()["in_flight"], 2, "one that has not come whole is not in flight");
         served.ends(Ending::Served);
         refused.ends(Ending::Refused);
-        drop((served, refused, left));
+        drop((served, refused, left, counters.record(0)));
         counters.attempts().set(7);
         let zero = json!({"look": 0, "once": 0});
         let expected = json!({
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -1,9 +1,9 @@
 //! The only owner of the decision module: turns what happens on the sockets into its events, in order, and
 //! carries out its actions. Keeps the ids, the clock, the timers and each request's life.
 
-use crate::backend::{Attempt, Call, End, Pool, Target};
+use crate::backend::{Attempt, Call, End, Pool, Served, Target};
+use crate::body::Flow;
 use crate::discovery::{Health, Host};
-use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -20,15 +20,14 @@
 
 /// The module's deadline lies so much before the caller's: a deadline counts from the caller's send, and the
 /// answer has yet to reach it.
-const MARGIN: Duration = Duration::from_millis(25);
+pub const MARGIN: Duration = Duration::from_millis(25);
 /// A request still without an answer so long before the caller's deadline is failed whatever the module says.
 const BACKSTOP: Duration = Duration::from_millis(10);
 
 /// A request's final answer.
-#[derive(Debug)]
 pub enum Answer {
     /// A backend's answer.
-    Served(Bytes),
+    Served(Served),
     /// Turned away; a further try is harmless.
     Refused {
         /// How long the caller should stay away, where that is told.
@@ -38,6 +37,8 @@
     Failed,
     /// No answer in time; nothing is promised.
     TimedOut,
+    /// Its caller stopped half-way.
+    Broken,
 }
 
 /// A request as it came in, its names resolved.
@@ -50,9 +51,9 @@
     pub tenant: u16,
     /// What it is about.
     pub key: Option<String>,
-    /// When its head had come.
+    /// When all of it had come that is held.
     pub received: Instant,
-    /// How long its caller waits.
+    /// How long its caller waits from its last byte on.
     pub patience: Duration,
 }
 
@@ -71,8 +72,9 @@
     fn at(&self, t: Instant) -> f64 {
         self.base + t.saturating_duration_since(self.start).as_secs_f64() * 1000.0
     }
+    /// A day on at the latest: what never ends is far off too.
     fn instant(&self, ms: f64) -> Instant {
-        self.start + millis(ms - self.base)
+        self.start + millis((ms - self.base).min(86_400_000.0))
     }
 }
 
@@ -172,13 +174,15 @@
 
     /// Takes a request and waits for its one answer. Dropped before that, the caller has hung up.
     pub async fn decide(self: &Rc<Self>, incoming: Incoming) -> Answer {
-        let limit = self.last.get().map_or(incoming.patience, |last| {
-            incoming.patience.min(last.saturating_duration_since(incoming.received))
-        });
-        let end = incoming.received + limit;
-        let deadline = self.clock.at(incoming.received + limit.saturating_sub(MARGIN));
+        let limit = |from: Instant| {
+            let until = |last: Instant| incoming.patience.min(last.saturating_duration_since(from));
+            self.last.get().map_or(incoming.patience, until)
+        };
+        let due = |from: Instant| self.clock.at(from + limit(from).saturating_sub(MARGIN));
+        let rest = incoming.call.rest.clone();
+        let deadline = if rest.is_some() { f64::MAX } else { due(incoming.received) };
         let key = incoming.key.map_or(0, |k| hash(&k).max(1));
-        let (caller, answer) = oneshot::channel();
+        let (caller, mut answer) = oneshot::channel();
         let request = {
             let s = &mut *self.state.borrow_mut();
             if s.requests.len() >= self.facts.site.open_cap {
@@ -191,13 +195,25 @@
             id
         };
         let _here = Here { engine: self.clone(), request };
-        let (class, tenant) = (incoming.class, incoming.tenant);
-        self.tell(Event::Request(Arrival { request, key, class, tenant, deadline }));
+        let (class, tenant, coming) = (incoming.class, incoming.tenant, rest.is_some());
+        self.tell(Event::Request(Arrival { request, key, class, tenant, deadline, coming }));
+        let mut whole = incoming.received;
+        if let Some(rest) = rest {
+            let flow = tokio::select! {
+                biased;
+                answer = &mut answer => return answer.unwrap_or(Answer::Failed),
+                flow = rest.settled() => flow,
+            };
+            let Flow::Whole(at) = flow else { return Answer::Broken };
+            whole = at;
+            self.tell(Event::Whole { request, deadline: due(at) });
+        }
+        let limit = limit(whole);
         tokio::select! {
             biased;
             answer = answer => answer.unwrap_or(Answer::Failed),
             // The module answers in time; this guards against a late loop and against its silence.
-            () = sleep_until(end - BACKSTOP.min(limit)) => Answer::TimedOut,
+            () = sleep_until(whole + limit - BACKSTOP.min(limit)) => Answer::TimedOut,
         }
     }
 
@@ -327,7 +343,7 @@
         let within = number < self.facts.settings.caps.try_limit as usize;
         let Some(target) = target.filter(|_| within && matches!(open.life, Life::Owed(_))) else {
             open.attempts.push(None);
-            s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, &open.life));
+            s.events.push_back(resolved(request, number, backend, Outcome::Moot, 0.0, open));
             return;
         };
         let (cancel, cancelled) = oneshot::channel();
@@ -348,8 +364,13 @@
             if let End::Served(body) = end {
                 open.answer(Answer::Served(body));
             }
-            let wait = out.sent.elapsed().as_secs_f64() * 1000.0;
-            let event = resolved(request, number, out.backend, outcome, wait, &open.life);
+            // A backend begins with the last byte.
+            let begun = match open.call.rest.as_ref().map(|r| r.state()) {
+                Some(Flow::Whole(at)) => at.max(out.sent),
+                _ => out.sent,
+            };
+            let wait = begun.elapsed().as_secs_f64() * 1000.0;
+            let event = resolved(request, number, out.backend, outcome, wait, open);
             s.forget(request);
             event
         };
@@ -363,10 +384,11 @@
     backend: BackendId,
     outcome: Outcome,
     wait: f64,
-    life: &Life,
+    open: &Open,
 ) -> Event {
-    let (attempt, closed) = (number as u8, matches!(life, Life::Over));
-    Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed })
+    let (attempt, closed) = (number as u8, matches!(open.life, Life::Over));
+    let spent = open.call.rest.as_ref().is_some_and(|r| r.passed());
+    Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent })
 }
 
 fn hash(text: &str) -> u64 {
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -1,14 +1,14 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
-use crate::backend::{Call, MAX_BODY};
+use crate::backend::{Call, Served};
+use crate::body::{self, Flow, Paced, Rest};
 use crate::counters::{Counters, Ending, Record};
 use crate::engine::{Answer, Engine, Incoming};
 use crate::lifecycle::{LINGER, Lifecycle};
 use crate::stream::Watched;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming as Inflow, SizeHint};
-use hyper::header::{ALLOW, CONNECTION, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{ALLOW, CONNECTION, EXPECT, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -22,8 +22,8 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::{Instant, sleep};
 use turnshift::api::Effect;
 use turnshift::settings::Facts;
 
@@ -37,8 +37,6 @@
 const REST: Duration = Duration::from_secs(1);
 /// Connections past the limit, taken only to be refused at once.
 const SPARE: usize = 32;
-/// A body longer than this is not read to its end.
-const MAX_UNREAD: usize = 16 * MAX_BODY;
 /// Longest time that a caller may say it waits.
 const MAX_PATIENCE_MS: u64 = 600_000;
 
@@ -47,27 +45,43 @@
 /// An answer's body. The request's record goes along and ends with it.
 #[derive(Default)]
 pub struct Outflow {
-    data: Full<Bytes>,
-    _record: Option<Record>,
+    data: Bytes,
+    rest: Option<Paced>,
+    record: Option<Record>,
 }
 
 impl Body for Outflow {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        Pin::new(&mut self.data).poll_frame(cx)
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let data = std::mem::take(&mut self.data);
+        let next = match &mut self.rest {
+            _ if !data.is_empty() => Ok(Some(data)),
+            None => Ok(None),
+            Some(rest) => match rest.poll_next(cx) {
+                Poll::Ready(next) => next,
+                Poll::Pending => return Poll::Pending,
+            },
+        };
+        if let (Err(_), Some(record)) = (&next, &mut self.record) {
+            // The client can tell: its connection ends here.
+            record.ends(Ending::Failed);
+        }
+        Poll::Ready(next.transpose().map(|piece| piece.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_end_stream()
+        self.data.is_empty() && self.rest.as_ref().is_none_or(Paced::over)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.data.size_hint()
+        let data = self.data.len() as u64;
+        match self.rest.as_ref().map(Paced::left) {
+            None => SizeHint::with_exact(data),
+            Some(Some(rest)) => SizeHint::with_exact(data + rest),
+            Some(None) => SizeHint::default(),
+        }
     }
 }
 
@@ -139,6 +153,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD)
+            .max_buf_size(body::BUFFER)
             .serve_connection(Watched::new(TokioIo::new(stream)), service);
         let mut connection = pin!(connection);
         let mut first = pin!(sleep(FIRST));
@@ -165,19 +180,19 @@
     }
 
     async fn answer(&self, request: Request<Inflow>, crowded: bool) -> Result<Reply, Infallible> {
-        let received = Instant::now();
         let taking = || self.lifecycle.phase().takes();
         if request.uri().path() == "/health/ready" {
             let ready = self.engine.ready() && taking();
             return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
         }
-        let mut reply = match self.read(request, received).await {
+        let expects = request.headers().contains_key(EXPECT);
+        let mut reply = match self.read(request).await {
             Err(reply) => *reply,
             // Places are held by callers at rest too: what is refused is work past what can be carried.
             Ok((_, record)) if crowded && self.engine.owed() >= self.connections => {
                 write(Answer::Refused { retry_after: None }, record)
             }
-            Ok((incoming, record)) => write(self.engine.decide(incoming).await, record),
+            Ok((incoming, record)) => self.decide(incoming, record, expects).await,
         };
         if crowded || !taking() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -185,12 +200,31 @@
         Ok(reply)
     }
 
-    /// Reads a request whole, or says what is wrong with it.
-    async fn read(
-        &self,
-        request: Request<Inflow>,
-        received: Instant,
-    ) -> Result<(Incoming, Record), Box<Reply>> {
+    /// Waits for the answer. `expects` tells that the caller sends its body only once it is asked to.
+    async fn decide(&self, incoming: Incoming, mut record: Record, expects: bool) -> Reply {
+        let rest = incoming.call.rest.clone();
+        let mut answer = pin!(self.engine.decide(incoming));
+        let Some(rest) = rest else { return write(answer.await, record) };
+        let answer = tokio::select! {
+            answer = &mut answer => answer,
+            flow = rest.settled() => {
+                if flow != Flow::Broken {
+                    record.taken();
+                }
+                answer.await
+            }
+        };
+        // Closed with its body unread, the caller's connection would be reset and the answer lost.
+        if !matches!(answer, Answer::Served(_))
+            && let Some(flow) = rest.withdraw().filter(|_| rest.passed() || !expects)
+        {
+            spawn_local(flow.drain());
+        }
+        write(answer, record)
+    }
+
+    /// Reads a request, whole if it is small, or says what is wrong with it.
+    async fn read(&self, request: Request<Inflow>) -> Result<(Incoming, Record), Box<Reply>> {
         let (head, body) = request.into_parts();
         let wrong = |status| Box::new(plain(status));
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -224,15 +258,31 @@
         }
         let about = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
         let about = about.filter(|k| !k.is_empty()).map(str::to_string);
+        let mut body = Paced::new(body, body::CLIENT);
+        let (length, mut held) = (body.left(), BytesMut::new());
+        if length.is_some_and(|n| n > body::LARGEST) {
+            let reply = wrong(StatusCode::PAYLOAD_TOO_LARGE);
+            spawn_local(body.drain());
+            return Err(reply);
+        }
+        // What cannot be held anyway is asked for only when there is somebody to pass it on to.
+        let flows = length.is_some_and(|n| n > body::SMALL as u64);
+        let whole = !flows
+            && body.hold(&mut held).await.map_err(|e| match e.kind() {
+                io::ErrorKind::TimedOut => wrong(StatusCode::REQUEST_TIMEOUT),
+                _ => bad(),
+            })?;
+        let received = Instant::now();
+        let rest = (!whole).then(|| Rc::new(Rest::new(body, patience)));
+        let held = held.freeze();
         let mut record = self.counters.record(class);
-        // A caller that stops half-way through its body is not waited for beyond its own patience.
-        let body = timeout_at(received + patience, collect(body)).await;
-        let body = body.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT)).map_err(wrong)?;
+        if whole {
+            record.taken();
+        }
         let host = head.headers.get(HOST).cloned();
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
-        let call = Call { method, uri, host, id, key, body };
+        let call = Call { method, uri, host, id, key, held, rest };
         let (class, tenant) = (class as u16, tenant as u16);
-        record.taken();
         Ok((Incoming { call, class, tenant, key: about, received, patience }, record))
     }
 }
@@ -249,22 +299,6 @@
     Ok(waiting)
 }
 
-/// A body of bounded length. One that is somewhat too long is read to its end, so that the caller, which may
-/// be writing still, gets to read why it is turned down.
-async fn collect(mut body: Inflow) -> Result<Bytes, StatusCode> {
-    let (mut bytes, mut length) = (BytesMut::new(), 0);
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data() else { continue };
-        length += data.len();
-        if length <= MAX_BODY {
-            bytes.extend_from_slice(&data);
-        } else if length > MAX_UNREAD {
-            break;
-        }
-    }
-    if length > MAX_BODY { Err(StatusCode::PAYLOAD_TOO_LARGE) } else { Ok(bytes.freeze()) }
-}
-
 /// A header that must come once, and not empty.
 fn one<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
     let mut values = headers.get_all(name).iter();
@@ -278,17 +312,23 @@
 }
 
 fn write(answer: Answer, mut record: Record) -> Reply {
-    let (status, ending, data, wait) = match answer {
-        Answer::Served(body) => (StatusCode::OK, Ending::Served, body, None),
+    let none = Served { data: Bytes::new(), rest: None };
+    let (status, ending, served, wait) = match answer {
+        Answer::Served(served) => (StatusCode::OK, Ending::Served, served, None),
         Answer::Refused { retry_after } => {
-            (StatusCode::SERVICE_UNAVAILABLE, Ending::Refused, Bytes::new(), retry_after)
+            (StatusCode::SERVICE_UNAVAILABLE, Ending::Refused, none, retry_after)
         }
-        Answer::Failed => (StatusCode::BAD_GATEWAY, Ending::Failed, Bytes::new(), None),
-        Answer::TimedOut => (StatusCode::GATEWAY_TIMEOUT, Ending::Failed, Bytes::new(), None),
+        Answer::Failed => (StatusCode::BAD_GATEWAY, Ending::Failed, none, None),
+        Answer::TimedOut => (StatusCode::GATEWAY_TIMEOUT, Ending::Failed, none, None),
+        Answer::Broken => (StatusCode::REQUEST_TIMEOUT, Ending::Failed, none, None),
     };
     record.ends(ending);
-    let mut reply = Response::new(Outflow { data: Full::new(data), _record: Some(record) });
+    let Served { data, rest } = served;
+    let mut reply = Response::new(Outflow { data, rest, record: Some(record) });
     *reply.status_mut() = status;
+    if status == StatusCode::REQUEST_TIMEOUT {
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     let seconds = wait.map(|d| format!("{:.3}", d.as_secs_f64()));
     if let Some(value) = seconds.and_then(|s| HeaderValue::try_from(s).ok()) {
         reply.headers_mut().insert(RETRY_AFTER, value);
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod backend;
+mod body;
 mod config;
 mod counters;
 mod discovery;
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -1,11 +1,11 @@
 //! A stream that watches its own writes: whether a request got out whole, and whether the other side has
 //! stopped taking bytes.
 
+use crate::body::{Flow, Rest};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -42,39 +42,57 @@
 
 /// A request's body; tells when the HTTP library has taken it.
 pub struct Outgoing {
-    data: Bytes,
+    held: Bytes,
+    rest: Option<Rc<Rest>>,
     progress: Rc<Progress>,
 }
 
 impl Outgoing {
     /// The body of the request that is about to be written.
-    pub fn new(data: Bytes, progress: Rc<Progress>) -> Self {
+    pub fn new(held: Bytes, rest: Option<Rc<Rest>>, progress: Rc<Progress>) -> Self {
         progress.begin();
         // The library does not ask for a body that is empty.
-        progress.body_taken.set(data.is_empty());
-        Outgoing { data, progress }
+        progress.body_taken.set(held.is_empty() && rest.is_none());
+        Outgoing { held, rest, progress }
+    }
+
+    fn over(&self) -> bool {
+        let whole = |r: &Rc<Rest>| matches!(r.state(), Flow::Whole(_));
+        self.held.is_empty() && self.rest.as_ref().is_none_or(whole)
     }
 }
 
 impl Body for Outgoing {
     type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        self.progress.body_taken.set(true);
-        let data = std::mem::take(&mut self.data);
-        Poll::Ready((!data.is_empty()).then(|| Ok(Frame::data(data))))
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let held = std::mem::take(&mut self.held);
+        let next = match &self.rest {
+            _ if !held.is_empty() => Ok(Some(held)),
+            None => Ok(None),
+            Some(rest) => match rest.poll_next(cx) {
+                Poll::Ready(next) => next,
+                Poll::Pending => return Poll::Pending,
+            },
+        };
+        if self.over() {
+            self.progress.body_taken.set(true);
+        }
+        Poll::Ready(next.transpose().map(|piece| piece.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_empty()
+        self.over()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.data.len() as u64)
+        let held = self.held.len() as u64;
+        match self.rest.as_ref().map(|r| r.length()) {
+            None => SizeHint::with_exact(held),
+            Some(Some(rest)) => SizeHint::with_exact(held + rest),
+            Some(None) => SizeHint::default(),
+        }
     }
 }
 
@@ -177,7 +195,7 @@
                 spawn_local(async move {
                     let _ = connection.await;
                 });
-                let body = Outgoing::new(vec![b'x'; body].into(), progress.clone());
+                let body = Outgoing::new(vec![b'x'; body].into(), None, progress.clone());
                 let request = Request::post("/").header("host", "b").body(body).expect("well formed");
                 let answer = spawn_local(async move { sender.send_request(request).await.is_ok() });
                 other(&mut far).await;
--- a/src/bin/turnshift-drill/wire.rs
+++ b/src/bin/turnshift-drill/wire.rs
@@ -220,7 +220,7 @@
                 r.u8("stateBits")?;
                 r.f64("predicted")?;
                 let (tenant, deadline) = (r.u16("customer")?, r.f64("clientDeadline")?);
-                Event::Request(Arrival { request, key, class, tenant, deadline })
+                Event::Request(Arrival { request, key, class, tenant, deadline, coming: false })
             }
             4 => {
                 r.u64("xid")?;
@@ -237,7 +237,7 @@
                 let attempt = r.u8("hop")?;
                 let backend = r.u32("backend")?;
                 r.report()?;
-                Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed })
+                Event::Resolved(Resolved { request, attempt, backend, outcome, wait, closed, spent: false })
             }
             6 => Event::Hangup { request: r.u64("xid")? },
             7 => Event::Wake { token: r.u64("nonce")? },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,7 +36,7 @@
 //!
 //! // A request: here it is sent at once.
 //! actions.clear();
-//! let arrival = Arrival { request: 7, key: 0, class: 0, tenant: 0, deadline: 1000.0 };
+//! let arrival = Arrival { request: 7, key: 0, class: 0, tenant: 0, deadline: 1000.0, coming: false };
 //! balancer.handle(10.0, Event::Request(arrival), &mut actions);
 //! let Some(&Action::Send { request: 7, backend, .. }) = actions.first() else { panic!("sent") };
 //!
@@ -52,6 +52,7 @@
 //!     outcome: Outcome::Ok,
 //!     wait: 80.0,
 //!     closed: true,
+//!     spent: false,
 //! };
 //! actions.clear();
 //! balancer.handle(90.0, Event::Resolved(resolved), &mut actions);
@@ -64,6 +65,7 @@
 //! - Every event, in order, with a clock that only goes forward; a [`api::Event::Wake`] for every timer asked for.
 //! - One [`api::Event::Resolved`] for every [`api::Action::Send`], also after the request's end, and no later
 //!   than its `not_past`.
+//! - One [`api::Event::Whole`] for a request that came with `coming` set, unless it ends before its last byte.
 //! - `closed` set once the request is over: the first served answer goes to the client by itself and ends it.
 //!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,7 @@
     pub deadline: f64,
     pub hold_until: f64,
     pub ended: bool,
+    pub coming: bool, // its body flows still: no backend can begin
     pub attempts: Vec<Attempt>,
 }
 
--- /dev/null
+++ b/tests/bodies.rs
@@ -0,0 +1,173 @@
+//! Bodies and answers of any size through the started program.
+
+mod rig;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use rig::*;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+fn text(bytes: usize) -> Vec<u8> {
+    (0..bytes).map(|n| b'a' + (n / 7 % 26) as u8).collect()
+}
+
+/// Sends a body of so many bytes in chunks, its length not told; status and length of the answer.
+async fn chunked(s: &Scene, left: usize) -> (u16, usize) {
+    let stream = soon(TcpStream::connect(s.proxy.addr)).await.expect("it listens");
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.expect("nothing is sent yet");
+    tokio::spawn(connection);
+    let body = Pieces { left, breaks_at: 0, told: false };
+    let answer = soon(sender.send_request(request("keep").body(body).expect("well formed"))).await;
+    let answer = answer.expect("an answer");
+    let status = answer.status().as_u16();
+    (status, soon(answer.into_body().collect()).await.expect("a whole one").to_bytes().len())
+}
+
+#[tokio::test]
+async fn long_bodies_and_answers_pass_unchanged() {
+    let s = scene(settings()).await;
+    for (n, size) in [65_536, 65_537, 3_000_000].into_iter().enumerate() {
+        for told in [true, false] {
+            s.orders.give([Do::Long(size, told), Do::Long(size, told)]);
+            let body = text(size);
+            let call = request("once").body(Full::from(body.clone())).expect("well formed");
+            let (status, answer) = s.proxy.caller().await.send(call).await;
+            assert_eq!((status, answer.len()), (200, size));
+            assert_eq!(chunked(&s, size).await, (200, size));
+            let seen = s.orders.seen.borrow();
+            let [.., (_, _, first), (_, _, second)] = &seen[..] else { panic!("two came") };
+            assert_eq!(seen.len(), 4 * n + if told { 2 } else { 4 });
+            assert!(*first == body && second.len() == size && second.iter().all(|b| *b == b'y'));
+        }
+    }
+    s.orders.give([Do::Long(32 << 20, true)]);
+    let call = request("keep").body(Full::from(text(32 << 20))).expect("well formed");
+    assert_eq!(s.proxy.caller().await.send(call).await.1.len(), 32 << 20);
+}
+
+/// Sixteen times 8 MB in either direction: what is under way is a small part of it.
+#[tokio::test]
+async fn memory_is_bounded_whatever_the_bodies_size() {
+    let s = scene(settings()).await;
+    s.orders.give((0..16).map(|n| Do::Long(8 << 20, n % 2 == 0)));
+    let mut calls = Vec::new();
+    for _ in 0..16 {
+        let mut caller = s.proxy.caller().await;
+        calls.push(tokio::spawn(async move {
+            caller.send(request("keep").body(Full::from(text(8 << 20))).expect("well formed")).await
+        }));
+    }
+    for call in calls {
+        let (status, answer) = call.await.expect("no panic");
+        assert_eq!((status, answer.len()), (200, 8 << 20));
+    }
+    assert!(s.proxy.peak_mb() < 32, "{} MB", s.proxy.peak_mb());
+}
+
+/// An answer that nobody reads is not read from its backend either.
+#[tokio::test]
+async fn a_client_that_takes_nothing_holds_its_backend_back() {
+    let s = scene(settings()).await;
+    s.orders.give((0..8).map(|_| Do::Long(32 << 20, true)));
+    let mut idle = Vec::new();
+    for n in 0..8 {
+        let mut stream = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+        let head = format!(
+            "GET /look HTTP/1.1\r\nHost: o\r\nReq-Id: idle{n}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("open");
+        let mut start = [0; 12];
+        soon(stream.read_exact(&mut start)).await.expect("an answer begins");
+        assert_eq!(&start, b"HTTP/1.1 200");
+        idle.push(stream);
+    }
+    for _ in 0..20 {
+        assert_eq!(s.proxy.call("look").await.0, 200, "others are served meanwhile");
+    }
+    assert!(s.proxy.peak_mb() < 32, "{} MB", s.proxy.peak_mb());
+    // One of them goes on after all, and gets the whole of it.
+    let (mut late, mut got) = (idle.remove(0), 0);
+    let mut part = vec![0; 1 << 20];
+    while got < 32 << 20 {
+        let n = soon(late.read(&mut part)).await.expect("open");
+        assert_ne!(n, 0, "the answer ends after {got} bytes");
+        got += n;
+    }
+}
+
+/// Where nothing of a long body was passed on, it goes to the next backend whole; where some was, it is not sent
+/// again, whatever its class.
+#[tokio::test]
+async fn a_long_body_is_sent_again_only_while_all_of_it_is_held() {
+    let s = scene(settings()).await;
+    let body = text(1 << 20);
+    let call = |class| request(class).body(Full::from(body.clone())).expect("well formed");
+    for class in ["keep", "once"] {
+        let heard = *s.orders.heard.borrow();
+        s.orders.give([Do::Hear(200_000)]);
+        let (status, _) = s.proxy.caller().await.send(call(class)).await;
+        assert!((500..600).contains(&status), "{status}");
+        assert_eq!((*s.orders.heard.borrow(), s.orders.seen.borrow().len()), (heard + 1, 0));
+    }
+    let gone =
+        tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("bound");
+    s.discovery.tell(vec![line("a", gone, "SERVING"), s.b.line("SERVING")]).await;
+    for n in 1..=6 {
+        assert_eq!(s.proxy.caller().await.send(call("once")).await, (200, "b".into()));
+        assert_eq!(s.orders.seen.borrow().len(), n);
+        assert_eq!(s.orders.seen.borrow()[n - 1].2, body);
+    }
+}
+
+#[tokio::test]
+async fn a_long_answer_that_breaks_off_is_broken_for_the_client_too() {
+    let s = scene(settings()).await;
+    for told in [true, false] {
+        s.orders.give([Do::Cut(1 << 20, told)]);
+        let mut caller = s.proxy.caller().await;
+        let call = request("once").body(Full::<Bytes>::default()).expect("well formed");
+        let answer = soon(caller.0.send_request(call)).await.expect("it begins");
+        assert_eq!(answer.status(), 200);
+        assert!(soon(answer.into_body().collect()).await.is_err(), "half an answer passed for a whole one");
+    }
+    assert_eq!(s.orders.seen.borrow().len(), 2, "none was sent again");
+}
+
+/// Who stops half-way through its body hears so in time; small or large, it reaches no backend as a request.
+#[tokio::test]
+async fn a_body_that_stops_half_way_is_not_waited_for() {
+    let s = scene(settings()).await;
+    for (n, length) in [1000, 1_000_000].into_iter().enumerate() {
+        let connected = Instant::now();
+        let mut peer = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+        let head = format!(
+            "POST /once HTTP/1.1\r\nHost: o\r\nReq-Id: stop{n}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\nContent-Length: {length}\r\n\r\n"
+        );
+        peer.write_all(head.as_bytes()).await.expect("open");
+        peer.write_all(&vec![b'x'; length / 2]).await.expect("open");
+        let mut answer = String::new();
+        soon(peer.read_to_string(&mut answer)).await.expect("closed, not reset");
+        assert!(answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+        assert!(connected.elapsed() < Duration::from_secs(3), "{:?}", connected.elapsed());
+    }
+    assert_eq!(s.orders.seen.borrow().len(), 0);
+    assert_eq!(s.proxy.call("look").await.0, 200);
+}
+
+/// A refusal in the middle of a long body gets through to a client that is still writing.
+#[tokio::test]
+async fn a_refusal_reaches_a_client_that_is_still_writing() {
+    let s = scene(with_cap("openCap", 1.into())).await;
+    s.orders.give([Do::Hold(Arc::new(Notify::new()))]);
+    let mut busy = s.proxy.caller().await;
+    let _held = tokio::spawn(async move { busy.call("look").await });
+    s.orders.came(1).await;
+    let call = request("once").body(Full::from(text(4 << 20))).expect("well formed");
+    assert_eq!(s.proxy.caller().await.send(call).await.0, 503);
+}
