Let two processes at one address divide descriptors and cold budgets

Files of killed processes, half-written ones and an unusable folder are tried. The tests fail without the division by processes (cold budgets) and without the lock (a kill, a stop and a start are not noticed).

--- a/src/api.rs
+++ b/src/api.rs
@@ -262,6 +262,12 @@
         /// The request.
         request: RequestId,
     },
+    /// So many processes stand for this copy while one replaces another, each with a module of its own: what the
+    /// rules allow to a copy is theirs together.
+    Company {
+        /// Their number, this one included.
+        processes: u32,
+    },
     /// A timer came due.
     Wake {
         /// As given in [`Action::WakeMe`].
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -142,6 +142,7 @@
     ask_backoff: f64,
     asking: bool,
     hold: f64,
+    beside: f64, // processes that share this copy's cold budgets
 }
 
 impl Balancer {
@@ -171,6 +172,7 @@
             retry_tokens: RETRY_DEPTH,
             ask_backoff: 1.0,
             bears: 1.0,
+            beside: 1.0,
             // One for all classes: in a full queue the longer hold would take every slot of its slice.
             hold: HOLD[settings.tier.min(1) as usize]
                 * settings.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min),
@@ -195,6 +197,7 @@
             Event::Request(arrival) => self.on_request(now, &arrival, out),
             Event::Whole { request, deadline } => self.on_whole(now, request, deadline),
             Event::Resolved(resolved) => self.on_resolved(now, &resolved, out),
+            Event::Company { processes } => self.beside = f64::from(processes.max(1)),
             Event::Hangup { request } => self.end(now, request, out),
             Event::Wake { token: HOUSEKEEPING } => self.housekeep(now, out),
             Event::Wake { token: ASK } => {
@@ -682,7 +685,7 @@
         let margin = (COLD_MARGIN * self.s.rules.fall_multiple).min(1.0);
         let bears = self.limiter.rate / warm.max(1.0);
         self.borne += (bears - self.borne) * (passed / BORNE[usize::from(bears < self.borne)]).min(1.0);
-        let each = self.borne * margin * passed;
+        let each = self.borne * margin * passed / self.beside;
         let mut hung = Vec::new();
         for id in &self.subset {
             let Some(b) = self.backends.get_mut(id) else { continue };
--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use turnshift::api::Outcome;
 
@@ -85,8 +85,10 @@
 
 /// What the pool keeps to.
 pub struct Limits {
-    /// Most connections at once.
+    /// Most connections at once, of all processes together.
     pub connections: usize,
+    /// How many processes there are.
+    pub company: watch::Receiver<u32>,
     /// A connect that takes longer has failed.
     pub connect: Duration,
     /// Backends close connections idle for so long.
@@ -135,6 +137,13 @@
     }
 }
 
+impl Limits {
+    /// Most connections of this process.
+    fn own(&self) -> usize {
+        (self.connections / *self.company.borrow() as usize).max(1)
+    }
+}
+
 impl Pool {
     /// An empty pool; attempts that it has written whole are counted in `attempts`.
     pub fn new(limits: Limits, attempts: Rc<Cell<u64>>) -> Self {
@@ -150,6 +159,10 @@
     /// its close would end as a reset, which may have run: ours go clearly earlier.
     pub fn sweep(&self) {
         let age = self.limits.idle.mul_f64(RETIRE);
+        // Past the limit once another process has come: what is idle makes room.
+        for _ in self.limits.own()..self.open.get() {
+            self.evict();
+        }
         self.idle.borrow_mut().retain(|_, links| {
             links.retain(|i| !i.link.sender.is_closed() && i.since.elapsed() < age);
             !links.is_empty()
@@ -186,12 +199,13 @@
     }
 
     async fn connect(&self, dial: SocketAddr) -> Result<Link, Outcome> {
-        let Some(place) = Place::take(&self.open, self.limits.connections) else {
+        let most = self.limits.own();
+        let Some(place) = Place::take(&self.open, most) else {
             // No descriptor to spare: that says nothing of the backend, and the request was never sent.
             self.evict();
             return Err(Outcome::Moot);
         };
-        if self.open.get() == self.limits.connections {
+        if self.open.get() >= most {
             self.evict();
         }
         let stream = match timeout(self.limits.connect, TcpStream::connect(dial)).await {
@@ -253,7 +267,7 @@
         // Without its last byte it is no request, and its sender's pace says nothing of the backend.
         report(End::Unserved(if came { given_up } else { Outcome::Moot }));
         if came && written.get() && pool.limits.may_duplicate {
-            let most = pool.limits.connections / DRAIN_SHARE;
+            let most = pool.limits.own() / DRAIN_SHARE;
             if let Some(_place) = Place::take(&pool.draining, most) {
                 // Whether it came or not, nobody waits for the answer itself.
                 let _ = timeout_at(Instant::now() + DRAIN, exchange).await;
--- /dev/null
+++ b/src/bin/heathroad/company.rs
@@ -0,0 +1,108 @@
+//! The processes that stand at one address while one replaces another: how many there are. What the platform
+//! gives to a proxy is then theirs together.
+
+use std::fs::{File, TryLockError};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Most that are told apart; one more goes uncounted.
+const MOST: usize = 8;
+/// How often they look for each other.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// This process's place among them. The system frees it when the process ends, however it ends.
+pub struct Company {
+    files: Vec<PathBuf>,
+    own: usize,
+    _lock: File,
+}
+
+impl Company {
+    /// Takes the first free place at an address.
+    pub fn join(folder: &Path, address: SocketAddr) -> Result<Self, String> {
+        let name = |n| folder.join(format!("heathroad-{}-{}.{n}.lock", address.ip(), address.port()));
+        let files: Vec<PathBuf> = (0..MOST).map(name).collect();
+        let mut last = String::from("all places are taken");
+        for (own, path) in files.iter().enumerate() {
+            let opened = File::options().create(true).truncate(false).write(true).open(path);
+            match opened.map(|file| file.try_lock().map(|()| file)) {
+                Ok(Ok(lock)) => return Ok(Company { files, own, _lock: lock }),
+                Ok(Err(TryLockError::WouldBlock)) => {}
+                Ok(Err(TryLockError::Error(e))) | Err(e) => last = format!("{}: {e}", path.display()),
+            }
+        }
+        Err(last)
+    }
+
+    /// How many processes there are, this one included.
+    pub fn count(&self) -> u32 {
+        let others = self.files.iter().enumerate().filter(|(n, path)| *n != self.own && taken(path));
+        1 + others.count() as u32
+    }
+
+    /// Tells their number whenever it changes, for ever.
+    pub async fn follow(self, told: watch::Sender<u32>) {
+        loop {
+            let now = self.count();
+            told.send_if_modified(|was| std::mem::replace(was, now) != now);
+            sleep(LOOK).await;
+        }
+    }
+}
+
+/// Whether a process holds the place. Asked by a lock that may be shared, so that two who look at once do not
+/// take each other for its holder.
+fn taken(path: &Path) -> bool {
+    let Ok(file) = File::open(path) else { return false };
+    matches!(file.try_lock_shared(), Err(TryLockError::WouldBlock))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A folder of the test's own; what an earlier run left in it stays, as `$TMPDIR` is not emptied either.
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("heathroad-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder for tests takes one");
+        folder
+    }
+
+    #[test]
+    fn processes_at_one_address_count_each_other_and_no_leftovers() {
+        let (folder, here) = (folder("count"), SocketAddr::from(([127, 0, 0, 1], 9000)));
+        let elsewhere = SocketAddr::from(([127, 0, 0, 1], 9001));
+        for n in 0..4 {
+            let name = format!("heathroad-{}-{}.{n}.lock", here.ip(), here.port());
+            std::fs::write(folder.join(name), b"half a li").expect("written");
+        }
+        let first = Company::join(&folder, here).expect("a place");
+        assert_eq!(first.count(), 1, "files of the killed are no processes");
+        let other = Company::join(&folder, elsewhere).expect("a place");
+        assert_eq!((first.count(), other.count()), (1, 1));
+        let second = Company::join(&folder, here).expect("a place");
+        let third = Company::join(&folder, here).expect("a place");
+        assert_eq!((first.count(), second.count(), third.count()), (3, 3, 3));
+        drop(first);
+        assert_eq!((second.count(), third.count()), (2, 2));
+        let successor = Company::join(&folder, here).expect("the place that came free");
+        assert_eq!((second.count(), successor.count()), (3, 3));
+        std::fs::remove_dir_all(folder).expect("it is there");
+    }
+
+    #[test]
+    fn a_folder_that_cannot_be_used_is_an_error_and_no_more() {
+        let here = SocketAddr::from(([127, 0, 0, 1], 9000));
+        assert!(Company::join(Path::new("/nowhere"), here).is_err());
+        let folder = folder("blocked");
+        for n in 0..MOST {
+            let name = format!("heathroad-{}-{}.{n}.lock", here.ip(), here.port());
+            std::fs::create_dir_all(folder.join(name)).expect("made");
+        }
+        assert!(Company::join(&folder, here).is_err());
+        std::fs::remove_dir_all(folder).expect("it is there");
+    }
+}
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -231,6 +231,11 @@
         self.tell(Event::List { kind, entries });
     }
 
+    /// So many processes stand for this copy.
+    pub fn company(self: &Rc<Self>, processes: u32) {
+        self.tell(Event::Company { processes });
+    }
+
     /// A call to discovery failed.
     pub fn list_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -95,13 +95,20 @@
     pub counters: Rc<Counters>,
     /// Whether clients are taken.
     pub lifecycle: Rc<Lifecycle>,
-    /// Most connections at once.
+    /// Most connections at once, of all processes together.
     pub connections: usize,
+    /// How many processes there are.
+    pub company: watch::Sender<u32>,
     /// How many there are.
     pub open: Cell<usize>,
 }
 
 impl Front {
+    /// Most connections of this process.
+    fn own(&self) -> usize {
+        (self.connections / *self.company.borrow() as usize).max(1)
+    }
+
     /// Accepts connections until the process stops and no more come; then closes them as they fall idle, and
     /// returns when the last one is.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
@@ -113,7 +120,7 @@
         });
         loop {
             self.open.set(open.len());
-            let full = open.len() >= self.connections + SPARE;
+            let full = open.len() >= self.own() + SPARE;
             if full {
                 // Connections that are left in the system's queue hold requests that we owe an answer, and
                 // callers at rest may keep theirs for long: those make room.
@@ -125,7 +132,7 @@
                 Some(_) = open.join_next() => {}
                 accepted = listener.accept(), if !full => match accepted {
                     Ok((stream, _)) => {
-                        let crowded = open.len() >= self.connections;
+                        let crowded = open.len() >= self.own();
                         open.spawn_local(self.clone().connection(stream, crowd.subscribe(), crowded));
                     }
                     // No error ends the loop, out of descriptors or other: callers are waiting, and what is
@@ -198,13 +205,13 @@
         let mut reply = match read.await {
             Err(reply) => *reply,
             // Places are held by callers at rest too: what is refused is work past what can be carried.
-            Ok((_, record)) if crowded && self.engine.owed() >= self.connections => {
+            Ok((_, record)) if crowded && self.engine.owed() >= self.own() => {
                 write(Answer::Refused { retry_after: None }, record)
             }
             Ok((incoming, record)) => self.decide(incoming, record, expects).await,
         };
         // Those who ask once and stay would soon hold every place: as places run short, none is kept.
-        if 2 * self.open.get() > self.connections || !taking() {
+        if 2 * self.open.get() > self.own() || !taking() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -4,6 +4,7 @@
 
 mod backend;
 mod body;
+mod company;
 mod config;
 mod counters;
 mod discovery;
@@ -14,6 +15,7 @@
 mod stream;
 
 use backend::Pool;
+use company::Company;
 use config::Config;
 use counters::Counters;
 use engine::{Engine, millis};
@@ -70,8 +72,10 @@
     let usable = usable.ok_or("config: limits.sockets: too few to work with")?;
     let site = &config.facts.site;
     let counters = Counters::new(site.classes.clone());
+    let company = watch::Sender::new(1);
     let limits = backend::Limits {
         connections: usable / 2,
+        company: company.subscribe(),
         connect: millis(site.connect_timeout),
         idle: millis(site.conn_idle),
         drain_grace: millis(site.drain_grace),
@@ -93,6 +97,14 @@
     }
     // The process that this one may replace serves on, so that there is time to ask for the list first; without
     // an address for operators it replaces nobody and says by /health/ready when it can serve.
+    let (mut others, told) = (company.subscribe(), engine.clone());
+    spawn_local(async move {
+        while others.changed().await.is_ok() {
+            let processes = *others.borrow_and_update();
+            eprintln!("heathroad: {processes} processes at this address");
+            told.company(processes);
+        }
+    });
     let (moved, discovery) = watch::channel(config.discovery);
     let (listed, first) = oneshot::channel();
     spawn_local(discovery::follow(engine.clone(), discovery, must_ask, wanted, listed));
@@ -119,10 +131,25 @@
         }
     });
     let connections = usable - usable / 2;
+    let bound = listener.local_addr().map_err(|e| format!("listening: {e}"))?;
+    if config.ops.is_some() {
+        // Where they cannot find each other they go on as if alone.
+        match Company::join(&std::env::temp_dir(), bound) {
+            Ok(place) => drop(spawn_local(place.follow(company.clone()))),
+            Err(e) => eprintln!("heathroad: no place among the processes here: {e}"),
+        }
+    }
     lifecycle.begin();
     let (facts, life) = (config.facts, lifecycle.clone());
-    let front =
-        Front { engine: engine.clone(), facts, counters, lifecycle: life, connections, open: Cell::new(0) };
+    let front = Front {
+        engine: engine.clone(),
+        facts,
+        counters,
+        lifecycle: life,
+        connections,
+        company,
+        open: Cell::new(0),
+    };
     let serving = spawn_local(Rc::new(front).serve(listener));
     terminated.recv().await;
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -440,9 +440,19 @@
         let id = self.child.id().expect("it runs").to_string();
         let sent = soon(Command::new("kill").args([name, &id]).status()).await;
         assert!(sent.expect("kill runs").success());
+        self.notes(notice).await;
+    }
+
+    /// Waits until the program logs `notice`.
+    pub async fn notes(&mut self, notice: &str) {
         while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(notice) {}
     }
 
+    /// Kills the program and waits until it is gone.
+    pub async fn kill(mut self) {
+        soon(self.child.kill()).await.expect("it ran");
+    }
+
     /// The most memory that the program has held so far, in MB.
     pub fn peak_mb(&self) -> usize {
         let id = self.child.id().expect("it runs");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -202,10 +202,11 @@
 
 /// Starts the backends from `new` on anew in a list of `n` at 400 requests a second, and counts for 4 s what they
 /// are sent, each; they answer at once, the others after `wait`. The second figure is what one could bear by then.
-fn sends_to_cold(n: u32, new: u32, wait: f64) -> (f64, f64) {
+fn sends_to_cold(n: u32, new: u32, wait: f64, processes: u32) -> (f64, f64) {
     let mut p = Proxy::new(settings(1, vec![class(2000.0, 1.0, Effect::Retryable)]), 1, entries(n));
     p.serve(6000.0, 2, 0, 250.0);
     let started_at = p.now;
+    p.tell(Event::Company { processes });
     p.list(ListKind::Delta, (new..=n).map(|b| Entry { started_at, ..entry(b) }).collect());
     let mut sends = 0;
     for _ in 0..800 {
@@ -228,14 +229,23 @@
 /// The large fleet: each that was new got half of what its warmth bears, beside jammed fellows.
 #[test]
 fn a_cold_backend_is_sent_what_its_warmth_bears() {
-    let (sent, bears) = sends_to_cold(5, 5, 250.0);
+    let (sent, bears) = sends_to_cold(5, 5, 250.0, 1);
     assert!(sent > 0.75 * bears, "{sent} sends to a cold backend, {bears:.0} could be borne");
 }
 
+/// While a process is replaced both know a rate that the backends bore for one: each may send half as much.
+#[test]
+fn two_processes_share_what_a_cold_backend_bears() {
+    let (one, _) = sends_to_cold(5, 5, 250.0, 1);
+    let (of_two, bears) = sends_to_cold(5, 5, 250.0, 2);
+    assert!(of_two < 0.6 * one, "{of_two} sends each, beside {one} of one process");
+    assert!(2.0 * of_two > 0.6 * bears, "{of_two} sends each, {bears:.0} could be borne by both");
+}
+
 /// The large fleet: ten of sixteen were new, and as the others jammed, what the new ones were trusted with fell.
 #[test]
 fn a_jam_beside_cold_backends_takes_nothing_from_them() {
-    let (sent, bears) = sends_to_cold(10, 5, 2500.0);
+    let (sent, bears) = sends_to_cold(10, 5, 2500.0, 1);
     assert!(sent > 0.75 * bears, "{sent} sends to each cold backend, {bears:.0} could be borne");
 }
 
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -291,3 +291,22 @@
     assert!(proxy.tell("health").await.starts_with("ACK"));
     assert_eq!(proxy.call("look").await, (200, "a".into()));
 }
+
+/// Two processes find each other by their locks, and a kill leaves none behind.
+#[tokio::test]
+async fn two_processes_at_one_address_know_of_each_other() {
+    let mut s = in_service().await;
+    let mut config = s.discovery.config(settings());
+    config["ops"] = "127.0.0.1:0".into();
+    config["listen"] = s.proxy.addr.to_string().into();
+    let mut first = Proxy::start_as(&config, "exec \"$0\"").await;
+    first.notes("2 processes at this address").await;
+    s.proxy.notes("2 processes at this address").await;
+    let mut second = Proxy::start_as(&config, "exec \"$0\"").await;
+    second.notes("3 processes at this address").await;
+    first.kill().await;
+    second.notes("2 processes at this address").await;
+    s.proxy.terminate().await;
+    second.notes("1 processes at this address").await;
+    assert_eq!(second.call("once").await.0, 200);
+}
