--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -171,3 +171,72 @@
     let call = request("once").body(Full::from(text(4 << 20))).expect("well formed");
     assert_eq!(s.proxy.caller().await.send(call).await.0, 503);
 }
+
+/// A request's head as it goes over the wire, but for its framing and its last line.
+fn head(version: &str, class: &str, id: &str) -> String {
+    let method = if class == "look" { "GET" } else { "POST" };
+    format!(
+        "{method} /{class} HTTP/{version}\r\nHost: o\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n"
+    )
+}
+
+/// Writes text as it is, and reads until the proxy closes.
+async fn exchange(s: &Scene, text: &str) -> String {
+    let mut stream = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+    stream.write_all(text.as_bytes()).await.expect("open");
+    let mut answer = String::new();
+    soon(stream.read_to_string(&mut answer)).await.expect("closed, not reset");
+    answer
+}
+
+#[tokio::test]
+async fn the_forms_of_http_are_understood() {
+    let s = scene(settings()).await;
+    let close = "Connection: close\r\n";
+    let pipelined = format!("{}\r\n{}{close}\r\n", head("1.1", "look", "p1"), head("1.1", "look", "p2"));
+    let answers = exchange(&s, &pipelined).await;
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2, "{answers}");
+    assert!(exchange(&s, &format!("{}\r\n", head("1.0", "look", "old"))).await.contains(" 200"));
+    let trailers = format!(
+        "{}{close}Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\nSum: 1\r\n\r\n",
+        head("1.1", "once", "chunks")
+    );
+    assert!(exchange(&s, &trailers).await.starts_with("HTTP/1.1 200"));
+    assert_eq!(s.orders.seen.borrow().last().expect("it came").2, "abcdefg");
+    let came = s.orders.seen.borrow().len();
+    let wrong = [
+        format!("{}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", head("1.1", "once", "two")),
+        format!("{}Content-Length: -1\r\n\r\n", head("1.1", "once", "minus")),
+        format!("{}Transfer-Encoding: gzip\r\n\r\nabcd", head("1.1", "once", "gzip")),
+        format!("{}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", head("1.0", "once", "early")),
+        "GET /look\r\n\r\n".to_string(),
+        format!("{}Transfer-Encoding: chunked\r\n\r\nxyz\r\n", head("1.1", "once", "size")),
+    ];
+    for text in wrong {
+        let answer = exchange(&s, &text).await;
+        assert!(answer.starts_with("HTTP/1.1 400") || answer.starts_with("HTTP/1.0 400"), "{text}: {answer}");
+    }
+    assert_eq!(s.orders.seen.borrow().len(), came, "none of them reached a backend");
+}
+
+/// A caller that waits to be asked for its body is asked, once there is somebody to take it.
+#[tokio::test]
+async fn a_body_that_is_announced_is_asked_for() {
+    let s = scene(settings()).await;
+    for length in [1000, 500_000] {
+        let mut stream = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+        let head = format!(
+            "{}Connection: close\r\nExpect: 100-continue\r\nContent-Length: {length}\r\n\r\n",
+            head("1.1", "once", &format!("announced{length}"))
+        );
+        stream.write_all(head.as_bytes()).await.expect("open");
+        let mut go_on = [0; 25];
+        soon(stream.read_exact(&mut go_on)).await.expect("asked for");
+        assert_eq!(&go_on, b"HTTP/1.1 100 Continue\r\n\r\n");
+        stream.write_all(&text(length)).await.expect("open");
+        let mut answer = String::new();
+        soon(stream.read_to_string(&mut answer)).await.expect("closed, not reset");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert_eq!(s.orders.seen.borrow().last().expect("it came").2.len(), length);
+    }
+}
