Spread the retries of calls to discovery

Ruled out: a lost list (the last one stays; a test says so now) and a wait without bound (2 s at most, discovery.rs, ask). At fault: discovery.rs, follow_at slept the bare pause. The test of the spread fails without it.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -149,13 +149,18 @@
                     // The module decides when to ask again.
                     engine.list_failed();
                 }
-                sleep(pause).await;
+                sleep(spread(pause)).await;
                 pause = (pause * 2).min(BACKOFF[1]);
             }
         }
     }
 }
 
+/// Half to one and a half of a pause, by chance: proxies that lost discovery together do not come back together.
+fn spread(pause: Duration) -> Duration {
+    pause.mul_f64(0.5 + fastrand::f64())
+}
+
 type Link = SendRequest<Empty<Bytes>>;
 
 /// One call: the whole list first, then a watch from the version that is held.
@@ -196,3 +201,17 @@
     });
     Ok(sender)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_are_spread_about_their_pause() {
+        let pause = BACKOFF[1];
+        let pauses: Vec<Duration> = (0..1000).map(|_| spread(pause)).collect();
+        assert!(pauses.iter().all(|p| *p >= pause / 2 && *p <= pause * 3 / 2));
+        let early = pauses.iter().filter(|p| **p < pause).count();
+        assert!((300..700).contains(&early), "{early} of 1000 come early");
+    }
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -211,6 +211,23 @@
     assert_eq!(s.proxy.call("look").await, (200, "b".into()));
 }
 
+/// During a release discovery breaks off: the list that is held stays in use, and the news comes all the same.
+#[tokio::test]
+async fn a_list_that_breaks_off_changes_nothing_and_is_asked_for_again() {
+    let s = scene(settings()).await;
+    s.discovery.cut(3);
+    let told = async {
+        s.discovery.tell(vec![s.a.line("DRAINING"), s.b.line("SERVING")]).await;
+    };
+    let calls = async {
+        for _ in 0..20 {
+            assert_eq!(s.proxy.call("look").await.0, 200);
+        }
+    };
+    tokio::join!(told, calls);
+    assert_eq!(s.proxy.call("look").await, (200, "b".into()));
+}
+
 #[tokio::test]
 async fn a_connect_that_outlasts_the_grace_of_a_drain_carries_nothing() {
     let (listener, held) = silent().await;
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -256,6 +256,8 @@
     held: Arc<watch::Sender<u64>>,
     /// How often the watches of the time were told to fall silent.
     silenced: Arc<AtomicUsize>,
+    /// So many of the next answers break off.
+    cut: Arc<AtomicUsize>,
 }
 
 impl Discovery {
@@ -264,15 +266,16 @@
         let addr = listener.local_addr().expect("bound");
         let list = Arc::new(watch::Sender::new((1, hosts)));
         let held = Arc::new(watch::Sender::new(0));
-        let silenced = Arc::<AtomicUsize>::default();
-        let (lists, holds, silence) = (list.clone(), held.clone(), silenced.clone());
+        let (silenced, cut) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let (lists, holds, silence, cuts) = (list.clone(), held.clone(), silenced.clone(), cut.clone());
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("a connection");
                 let (lists, holds, silence) = (lists.clone(), holds.clone(), silence.clone());
+                let cuts = cuts.clone();
                 let service = service_fn(move |request: Request<Incoming>| {
                     let (mut list, holds, silence) = (lists.subscribe(), holds.clone(), silence.clone());
-                    let before = silence.load(SeqCst);
+                    let (before, cuts) = (silence.load(SeqCst), cuts.clone());
                     async move {
                         let after = request.uri().query().and_then(|q| q.strip_prefix("after="));
                         let after = after.and_then(|q| q.split('&').next()?.parse::<u64>().ok());
@@ -285,13 +288,17 @@
                         }
                         let (seq, hosts) = list.borrow().clone();
                         let text = json!({"seq": seq, "whole": true, "hosts": hosts}).to_string();
-                        Ok::<_, io::Error>(Response::new(Full::new(Bytes::from(text))))
+                        if cuts.fetch_update(SeqCst, SeqCst, |n| n.checked_sub(1)).is_ok() {
+                            return Ok(Response::new(Broken(false).boxed()));
+                        }
+                        let whole = Full::new(Bytes::from(text)).map_err(|e| match e {});
+                        Ok::<_, io::Error>(Response::new(whole.boxed()))
                     }
                 });
                 tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
             }
         });
-        Discovery { addr, list, held, silenced }
+        Discovery { addr, list, held, silenced, cut }
     }
 
     /// The configuration of a proxy that asks here.
@@ -312,6 +319,11 @@
         self.silenced.fetch_add(1, SeqCst);
     }
 
+    /// So many of the next answers end half-way.
+    pub fn cut(&self, answers: usize) {
+        self.cut.store(answers, SeqCst);
+    }
+
     /// Changes the list and waits until the proxy holds it.
     pub async fn tell(&self, hosts: Vec<Value>) {
         self.list.send_modify(|(seq, list)| (*seq, *list) = (*seq + 1, hosts));
