Hold small bodies in a quarter of the memory at most; past it they flow

At fault: front.rs, read, and backend.rs, hold, took any number of small bodies whole. The tests fail without the room.

--- a/src/bin/heathroad/backend.rs
+++ b/src/bin/heathroad/backend.rs
@@ -1,6 +1,6 @@
 //! The backends' side: a pool of kept connections, and attempts with what each ending means.
 
-use crate::body::{self, Flow, Paced, Rest};
+use crate::body::{self, Flow, Held, Paced, Rest, Room};
 use crate::engine::MARGIN;
 use crate::stream::{Outgoing, Progress, Watched};
 use bytes::{Bytes, BytesMut};
@@ -45,6 +45,8 @@
     pub held: Bytes,
     /// What follows that, where the body is too long to be held.
     pub rest: Option<Rc<Rest>>,
+    /// What the held part takes up.
+    pub _room: Option<Held>,
 }
 
 /// A backend's answer to pass on.
@@ -53,6 +55,8 @@
     pub data: Bytes,
     /// What follows that.
     pub rest: Option<Paced>,
+    /// What the held part takes up.
+    pub room: Option<Held>,
 }
 
 /// Where a backend is reached, and since when it is known to drain or be gone.
@@ -106,6 +110,7 @@
     open: Rc<Cell<usize>>,
     draining: Rc<Cell<usize>>,
     attempts: Rc<Cell<u64>>,
+    room: Rc<Room>,
 }
 
 struct Idle {
@@ -145,9 +150,10 @@
 }
 
 impl Pool {
-    /// An empty pool; attempts that it has written whole are counted in `attempts`.
-    pub fn new(limits: Limits, attempts: Rc<Cell<u64>>) -> Self {
-        Pool { limits, idle: RefCell::default(), open: Rc::default(), draining: Rc::default(), attempts }
+    /// An empty pool; attempts that it has written whole are counted in `attempts`, answers held in `room`.
+    pub fn new(limits: Limits, attempts: Rc<Cell<u64>>, room: Rc<Room>) -> Self {
+        let (open, draining) = (Rc::default(), Rc::default());
+        Pool { limits, idle: RefCell::default(), open, draining, attempts, room }
     }
 
     /// Closes what is idle to an address.
@@ -307,7 +313,7 @@
         Err(_) if link.progress.whole() => return End::Unserved(Outcome::Reset),
         Err(_) => return End::Unserved(Outcome::ConnectFailed),
     };
-    let end = read(answer).await;
+    let end = read(answer, &pool.room).await;
     if end.outcome() != Outcome::Reset {
         let (pool, target) = (pool.clone(), target.clone());
         tokio::task::spawn_local(async move {
@@ -320,11 +326,11 @@
 }
 
 /// What an answer means.
-async fn read(answer: Response<hyper::body::Incoming>) -> End {
+async fn read(answer: Response<hyper::body::Incoming>, room: &Rc<Room>) -> End {
     let (head, body) = answer.into_parts();
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
     // An answer that breaks off is none: the request may have run.
-    let Ok(served) = hold(Paced::new(body, body::BACKEND)).await else {
+    let Ok(served) = hold(Paced::new(body, body::BACKEND), room).await else {
         return End::Unserved(Outcome::Reset);
     };
     match head.status {
@@ -338,19 +344,21 @@
 }
 
 /// Small answers whole, of longer ones the first bytes: those are timed, and the rest is not to be held back.
-async fn hold(mut body: Paced) -> io::Result<Served> {
-    let long = |n: u64| n > body::SMALL as u64;
+async fn hold(mut body: Paced, room: &Rc<Room>) -> io::Result<Served> {
     let (length, mut held) = (body.left(), BytesMut::new());
-    let Some(first) = body.next().await? else { return Ok(Served { data: Bytes::new(), rest: None }) };
-    if length.is_some_and(long) {
-        return Ok(Served { data: first, rest: Some(body) });
-    }
+    let Some(first) = body.next().await? else {
+        return Ok(Served { data: Bytes::new(), rest: None, room: None });
+    };
+    let Some(mut room) = room.take(length) else {
+        return Ok(Served { data: first, rest: Some(body), room: None });
+    };
     held.extend_from_slice(&first);
     let whole = match length {
         Some(_) => body.hold(&mut held).await?,
         None => timeout(EARLY, body.hold(&mut held)).await.unwrap_or(Ok(false))?,
     };
-    Ok(Served { data: held.freeze(), rest: (!whole).then_some(body) })
+    room.shrink(held.len());
+    Ok(Served { data: held.freeze(), rest: (!whole).then_some(body), room: Some(room) })
 }
 
 impl Call {
--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -18,6 +18,8 @@
     pub seed: u64,
     /// How many descriptors the process may hold.
     pub sockets: usize,
+    /// How much memory it may hold.
+    pub memory: usize,
     /// The list of backends as this proxy last had it.
     pub known: Option<Page>,
     /// The settings.
@@ -38,6 +40,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 /// Fewer descriptors than this leave no room for work.
@@ -96,6 +99,7 @@
         discovery: address("discovery", discovery.or(file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
         sockets: file.limits.sockets,
+        memory: file.limits.memory_mb.saturating_mul(1 << 20),
         known: file.known,
         facts,
     })
--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -1,7 +1,7 @@
 //! The callers' side: takes requests, checks them, and writes each one's answer.
 
 use crate::backend::{Call, Served};
-use crate::body::{self, Flow, Paced, Rest};
+use crate::body::{self, Flow, Held, Paced, Rest, Room};
 use crate::counters::{Counters, Ending, Record};
 use crate::engine::{Answer, Engine, Incoming};
 use crate::lifecycle::{LINGER, Lifecycle};
@@ -48,6 +48,7 @@
     data: Bytes,
     rest: Option<Paced>,
     record: Option<Record>,
+    _room: Option<Held>,
 }
 
 impl Body for Outflow {
@@ -97,6 +98,8 @@
     pub lifecycle: Rc<Lifecycle>,
     /// Most connections at once, of all processes together.
     pub connections: usize,
+    /// Where bodies are held.
+    pub room: Rc<Room>,
     /// How many processes there are.
     pub company: watch::Sender<u32>,
     /// How many there are.
@@ -282,8 +285,9 @@
             spawn_local(body.drain());
             return Err(reply);
         }
-        // What cannot be held anyway is asked for only when there is somebody to pass it on to.
-        let flows = length.is_some_and(|n| n > body::SMALL as u64);
+        // What cannot be held is asked for only when there is somebody to pass it on to.
+        let mut room = self.room.take(length);
+        let flows = room.is_none();
         let whole = !flows
             && body.hold(&mut held).await.map_err(|e| match e.kind() {
                 io::ErrorKind::TimedOut => wrong(StatusCode::REQUEST_TIMEOUT),
@@ -292,13 +296,16 @@
         let received = Instant::now();
         let rest = (!whole).then(|| Rc::new(Rest::new(body, patience)));
         let held = held.freeze();
+        if let Some(room) = &mut room {
+            room.shrink(held.len());
+        }
         let mut record = self.counters.record(class);
         if whole {
             record.taken();
         }
         let host = head.headers.get(HOST).cloned();
         let uri = head.uri.path_and_query().cloned().map(Uri::from).ok_or_else(bad)?;
-        let call = Call { method, uri, host, id, key, held, rest };
+        let call = Call { method, uri, host, id, key, held, rest, _room: room };
         let (class, tenant) = (class as u16, tenant as u16);
         Ok((Incoming { call, class, tenant, key: about, received, patience }, record))
     }
@@ -329,7 +336,7 @@
 }
 
 fn write(answer: Answer, mut record: Record) -> Reply {
-    let none = Served { data: Bytes::new(), rest: None };
+    let none = Served { data: Bytes::new(), rest: None, room: None };
     let (status, ending, served, wait) = match answer {
         Answer::Served(served) => (StatusCode::OK, Ending::Served, served, None),
         Answer::Refused { retry_after } => {
@@ -340,8 +347,8 @@
         Answer::Broken => (StatusCode::REQUEST_TIMEOUT, Ending::Failed, none, None),
     };
     record.ends(ending);
-    let Served { data, rest } = served;
-    let mut reply = Response::new(Outflow { data, rest, record: Some(record) });
+    let Served { data, rest, room } = served;
+    let mut reply = Response::new(Outflow { data, rest, record: Some(record), _room: room });
     *reply.status_mut() = status;
     if status == StatusCode::REQUEST_TIMEOUT {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -15,6 +15,7 @@
 mod stream;
 
 use backend::Pool;
+use body::Room;
 use company::Company;
 use config::Config;
 use counters::Counters;
@@ -40,6 +41,8 @@
 const FIRST_LIST: Duration = Duration::from_millis(1500);
 /// Connections that the system may keep waiting.
 const BACKLOG: u32 = 1024;
+/// The share of the memory in which bodies are held; a process that replaces this one needs as much beside it.
+const HELD_SHARE: usize = 4;
 /// How often kept connections are looked through for old ones.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors that are neither callers' nor backends' connections: standard streams, the listener, the
@@ -81,7 +84,8 @@
         drain_grace: millis(site.drain_grace),
         may_duplicate: site.may_duplicate,
     };
-    let pool = Rc::new(Pool::new(limits, counters.attempts()));
+    let room = Room::new(config.memory / HELD_SHARE);
+    let pool = Rc::new(Pool::new(limits, counters.attempts(), room.clone()));
     let (watching, wanted) = watch::channel(false);
     let must_ask = config.facts.settings.must_ask;
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching);
@@ -147,6 +151,7 @@
         counters,
         lifecycle: life,
         connections,
+        room,
         company,
         open: Cell::new(0),
     };
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -160,6 +160,24 @@
     assert_eq!(s.proxy.call("look").await.0, 200);
 }
 
+/// Where there is no room to hold them, small bodies and answers flow too: unchanged, and not to be sent again.
+#[tokio::test]
+async fn without_room_to_hold_them_small_bodies_flow() {
+    for (memory, again) in [(192, 200), (0, 503)] {
+        let s = scene_with(settings(), |config| config["limits"]["memory_mb"] = memory.into()).await;
+        for told in [true, false] {
+            s.orders.give([Do::Long(5000, told), Do::Long(5000, told)]);
+            let call = request("keep").body(Full::from(text(1000))).expect("well formed");
+            assert_eq!(s.proxy.caller().await.send(call).await.1.len(), 5000);
+            assert_eq!(s.orders.seen.borrow().last().expect("it came").2, text(1000));
+            assert_eq!(chunked(&s, 3000).await, (200, 5000));
+        }
+        s.orders.give([Do::Break]);
+        let call = request("keep").body(Full::from(text(1000))).expect("well formed");
+        assert_eq!(s.proxy.caller().await.send(call).await.0, again);
+    }
+}
+
 /// A refusal in the middle of a long body gets through to a client that is still writing.
 #[tokio::test]
 async fn a_refusal_reaches_a_client_that_is_still_writing() {
