Answer a request that tells two framings with 400 and a close

Asked for by the operators' issue; seen with a raw socket: Content-Length beside Transfer-Encoding: chunked was served by its chunks. Ruled out: two lengths, a bad length, an unknown encoding, chunks in 1.0: each has its 400 already. At fault: the HTTP library hides the length (its server role drops it), so that front.rs never sees both. The head's line names are read as they come (stream.rs, Head), one head at a time; a head that is read together with the body before it goes unchecked, as before.

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -5,7 +5,7 @@
 use crate::counters::{Counters, Ending, Record};
 use crate::engine::{Answer, Engine, Incoming};
 use crate::lifecycle::{LINGER, Lifecycle};
-use crate::stream::Watched;
+use crate::stream::{Progress, Watched};
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming as Inflow, SizeHint};
 use hyper::header::{ALLOW, CONNECTION, EXPECT, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -157,9 +157,17 @@
             return;
         }
         let (rests_since, asked) = (Cell::new(Instant::now()), Cell::new(false));
+        let stream = Watched::new(TokioIo::new(stream));
+        let seen = stream.progress();
+        seen.await_head();
         let service = service_fn(async |request| {
             asked.set(true);
-            let reply = self.answer(request, crowded).await;
+            if seen.contradicts() {
+                let mut reply = plain(StatusCode::BAD_REQUEST);
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return Ok(reply);
+            }
+            let reply = self.answer(request, crowded, &seen).await;
             rests_since.set(Instant::now());
             reply
         });
@@ -167,7 +175,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD)
             .max_buf_size(body::BUFFER)
-            .serve_connection(Watched::new(TokioIo::new(stream)), service);
+            .serve_connection(stream, service);
         let mut connection = pin!(connection);
         let mut first = pin!(sleep(FIRST));
         let mut released = pin!(self.lifecycle.released());
@@ -198,20 +206,26 @@
         let _ = connection.await;
     }
 
-    async fn answer(&self, request: Request<Inflow>, crowded: bool) -> Result<Reply, Infallible> {
+    async fn answer(
+        &self,
+        request: Request<Inflow>,
+        crowded: bool,
+        seen: &Progress,
+    ) -> Result<Reply, Infallible> {
         let taking = || self.lifecycle.phase().takes();
         let expects = request.headers().contains_key(EXPECT);
         let ready = self.engine.ready() && taking();
         let ready = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         let asks_ready = request.uri().path() == "/health/ready";
-        let read = async { if asks_ready { Err(Box::new(plain(ready))) } else { self.read(request).await } };
+        let read =
+            async { if asks_ready { Err(Box::new(plain(ready))) } else { self.read(request, seen).await } };
         let mut reply = match read.await {
             Err(reply) => *reply,
             // Places are held by callers at rest too: what is refused is work past what can be carried.
             Ok((_, record)) if crowded && self.engine.owed() >= self.own() => {
                 write(Answer::Refused { retry_after: None }, record)
             }
-            Ok((incoming, record)) => self.decide(incoming, record, expects).await,
+            Ok((incoming, record)) => self.decide(incoming, record, expects, seen).await,
         };
         // Those who ask once and stay would soon hold every place: as places run short, none is kept.
         if 2 * self.open.get() > self.own() || !taking() {
@@ -221,7 +235,7 @@
     }
 
     /// Waits for the answer. `expects` tells that the caller sends its body only once it is asked to.
-    async fn decide(&self, incoming: Incoming, mut record: Record, expects: bool) -> Reply {
+    async fn decide(&self, incoming: Incoming, mut record: Record, expects: bool, seen: &Progress) -> Reply {
         let rest = incoming.call.rest.clone();
         let mut answer = pin!(self.engine.decide(incoming));
         let Some(rest) = rest else { return write(answer.await, record) };
@@ -229,6 +243,7 @@
             answer = &mut answer => answer,
             flow = rest.settled() => {
                 if flow != Flow::Broken {
+                    seen.await_head();
                     record.taken();
                 }
                 answer.await
@@ -244,7 +259,11 @@
     }
 
     /// Reads a request, whole if it is small, or says what is wrong with it.
-    async fn read(&self, request: Request<Inflow>) -> Result<(Incoming, Record), Box<Reply>> {
+    async fn read(
+        &self,
+        request: Request<Inflow>,
+        seen: &Progress,
+    ) -> Result<(Incoming, Record), Box<Reply>> {
         let (head, body) = request.into_parts();
         let wrong = |status| Box::new(plain(status));
         let name = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -301,6 +320,7 @@
         }
         let mut record = self.counters.record(class);
         if whole {
+            seen.await_head();
             record.taken();
         }
         let host = head.headers.get(HOST).cloned();
--- a/src/bin/heathroad/stream.rs
+++ b/src/bin/heathroad/stream.rs
@@ -4,8 +4,8 @@
 use crate::body::{Flow, Rest};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use std::cell::Cell;
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -17,6 +17,9 @@
 /// A silent machine resets nothing: a write that makes no headway for so long has failed.
 const STALL: Duration = Duration::from_secs(10);
 
+/// A head is read in parts of this size.
+const HEAD_PART: usize = 4096;
+
 /// How far the request on a connection has got.
 #[derive(Default)]
 pub struct Progress {
@@ -24,6 +27,42 @@
     begun: Cell<bool>,
     flushed: Cell<bool>,
     wholes: Rc<Cell<u64>>,
+    head: RefCell<Option<Head>>,
+}
+
+/// A request's head as it comes in, read only for what the HTTP library settles by itself: told both a length and
+/// chunks, it takes the chunks and hides the length. Others on the way may have taken the length.
+#[derive(Default)]
+struct Head {
+    line: Vec<u8>,
+    begun: bool,
+    length: bool,
+    encoding: bool,
+    over: bool,
+}
+
+impl Head {
+    fn read(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            if self.over {
+                return;
+            }
+            if byte != b'\n' {
+                // Longer names than these mean nothing here, and nor does what follows the name.
+                if self.line.len() < 32 {
+                    self.line.push(byte.to_ascii_lowercase());
+                }
+                continue;
+            }
+            self.length |= self.line.starts_with(b"content-length:");
+            self.encoding |= self.line.starts_with(b"transfer-encoding:");
+            let empty = self.line.is_empty() || self.line == b"\r";
+            // Empty lines before a request are passed over.
+            self.over = empty && self.begun;
+            self.begun |= !empty;
+            self.line.clear();
+        }
+    }
 }
 
 impl Progress {
@@ -33,6 +72,14 @@
         self.begun.set(false);
         self.flushed.set(false);
     }
+    /// The next bytes to be read are those of a request's head, as far as is known.
+    pub fn await_head(&self) {
+        self.head.replace(Some(Head::default()));
+    }
+    /// Whether the head that came last told two framings.
+    pub fn contradicts(&self) -> bool {
+        self.head.borrow().as_ref().is_some_and(|h| h.over && h.length && h.encoding)
+    }
     /// Whether the request's last byte was given to the system. The HTTP library flushes a stream only once
     /// all that it has buffered is written, and by then it has taken the body.
     pub fn whole(&self) -> bool {
@@ -136,9 +183,19 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let this = &mut *self;
+        let mut head = this.progress.head.borrow_mut();
+        let Some(head) = head.as_mut().filter(|h| !h.over) else {
+            return Pin::new(&mut this.stream).poll_read(cx, buf);
+        };
+        let mut bytes = [0; HEAD_PART];
+        let mut part = ReadBuf::new(&mut bytes[..buf.remaining().min(HEAD_PART)]);
+        let read = Pin::new(&mut this.stream).poll_read(cx, part.unfilled());
+        head.read(part.filled());
+        buf.put_slice(part.filled());
+        read
     }
 }
 
@@ -226,6 +283,27 @@
         assert!(broken_after(0, async |far| read_request(far, 0).await).await);
     }
 
+    #[test]
+    fn a_head_that_tells_two_framings_is_seen_however_it_comes() {
+        let contradicts = |text: &str, part: usize| {
+            let progress = Progress::default();
+            progress.await_head();
+            for bytes in text.as_bytes().chunks(part) {
+                progress.head.borrow_mut().as_mut().expect("awaited").read(bytes);
+            }
+            progress.contradicts()
+        };
+        for part in [1, 7, 4096] {
+            let both = "\r\nPOST / HTTP/1.1\r\nContent-LENGTH: 3\r\nHost: o\r\nTransfer-Encoding : x\r\n";
+            assert!(!contradicts(&format!("{both}\r\n"), part), "no name ends in a space");
+            let both = "POST / HTTP/1.1\r\ntransfer-encoding:chunked\r\nContent-LENGTH: 3\r\n\r\nabc";
+            assert!(contradicts(both, part));
+            assert!(!contradicts(&both[..both.len() - 5], part), "it is not over");
+            let body = "POST / HTTP/1.1\r\nContent-Length: 30\r\n\r\nTransfer-Encoding: chunked\r\n\r\n";
+            assert!(!contradicts(body, part), "a body is no head");
+        }
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_write_that_makes_no_headway_fails() {
         // The far end stays open and takes nothing: only the time limit ends this.
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -222,19 +222,38 @@
     assert!(exchange(&s, &trailers).await.starts_with("HTTP/1.1 200"));
     assert_eq!(s.orders.seen.borrow().last().expect("it came").2, "abcdefg");
     let came = s.orders.seen.borrow().len();
+    let chunks = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
     let wrong = [
         format!("{}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", head("1.1", "once", "two")),
         format!("{}Content-Length: -1\r\n\r\n", head("1.1", "once", "minus")),
         format!("{}Transfer-Encoding: gzip\r\n\r\nabcd", head("1.1", "once", "gzip")),
         format!("{}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", head("1.0", "once", "early")),
         "GET /look\r\n\r\n".to_string(),
+        format!("{}Content-Length: 3\r\n{chunks}", head("1.1", "once", "lc")),
+        format!(
+            "{}Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+            head("1.1", "once", "cl")
+        ),
         format!("{}Transfer-Encoding: chunked\r\n\r\nxyz\r\n", head("1.1", "once", "size")),
     ];
     for text in wrong {
         let answer = exchange(&s, &text).await;
         assert!(answer.starts_with("HTTP/1.1 400") || answer.starts_with("HTTP/1.0 400"), "{text}: {answer}");
     }
-    assert_eq!(s.orders.seen.borrow().len(), came, "none of them reached a backend");
+    // The second request of a connection, after one whose body looks like a head.
+    let mut stream = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+    let looks = "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let first = format!("{}Content-Length: {}\r\n\r\n{looks}", head("1.1", "once", "first"), looks.len());
+    stream.write_all(first.as_bytes()).await.expect("open");
+    let mut start = [0; 12];
+    soon(stream.read_exact(&mut start)).await.expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 200");
+    let second = format!("{}Content-Length: 3\r\n{chunks}", head("1.1", "once", "second"));
+    stream.write_all(second.as_bytes()).await.expect("open");
+    let mut rest = String::new();
+    soon(stream.read_to_string(&mut rest)).await.expect("closed, not reset");
+    assert!(rest.contains("HTTP/1.1 400"), "{rest}");
+    assert_eq!(s.orders.seen.borrow().len(), came + 1, "none of the wrong ones reached a backend");
 }
 
 /// A caller that waits to be asked for its body is asked, once there is somebody to take it.
