Let long answers flow on through a stop, and begin none for a late request

At fault: main.rs ended the process 3.8 s after SIGTERM, its logs show, whatever was flowing; and front.rs began a long answer for a request whose body came whole after the linger, which the kill would then lose. The test fails without the longer end (cut off) and without the late answer's 504 (it begins).

--- a/src/bin/heathroad/front.rs
+++ b/src/bin/heathroad/front.rs
@@ -236,9 +236,14 @@
 
     /// Waits for the answer. `expects` tells that the caller sends its body only once it is asked to.
     async fn decide(&self, incoming: Incoming, mut record: Record, expects: bool, seen: &Progress) -> Reply {
-        let rest = incoming.call.rest.clone();
+        let (rest, received) = (incoming.call.rest.clone(), incoming.received);
+        // What flows for long has no end before the kill: for a late request it would be an answer begun and lost.
+        let in_time = |answer: Answer, whole: Instant| match answer {
+            Answer::Served(Served { rest: Some(_), .. }) if self.lifecycle.late(whole) => Answer::TimedOut,
+            answer => answer,
+        };
         let mut answer = pin!(self.engine.decide(incoming));
-        let Some(rest) = rest else { return write(answer.await, record) };
+        let Some(rest) = rest else { return write(in_time(answer.await, received), record) };
         let answer = tokio::select! {
             answer = &mut answer => answer,
             flow = rest.settled() => {
@@ -249,6 +254,10 @@
                 answer.await
             }
         };
+        let answer = match rest.state() {
+            Flow::Whole(at) => in_time(answer, at),
+            _ => answer,
+        };
         // Closed with its body unread, the caller's connection would be reset and the answer lost.
         if !matches!(answer, Answer::Served(_))
             && let Some(flow) = rest.withdraw().filter(|_| rest.passed() || !expects)
--- a/src/bin/heathroad/lifecycle.rs
+++ b/src/bin/heathroad/lifecycle.rs
@@ -1,9 +1,10 @@
 //! Whether this process takes clients: one state, changed by the ops address and by SIGTERM, watched by the
 //! listener and by each client's connection.
 
+use std::cell::Cell;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// New connections go on coming for so long after a no; and a connection at rest gets so much time for a last
 /// request, whose answer closes it, before it is closed between requests.
@@ -45,12 +46,12 @@
 }
 
 /// The state of this process.
-pub struct Lifecycle(watch::Sender<Phase>);
+pub struct Lifecycle(watch::Sender<Phase>, Cell<Option<Instant>>);
 
 impl Lifecycle {
     /// A process that has just started.
     pub fn new() -> Self {
-        Lifecycle(watch::Sender::new(Phase::Starting))
+        Lifecycle(watch::Sender::new(Phase::Starting), Cell::default())
     }
 
     /// It listens now.
@@ -75,6 +76,7 @@
 
     /// Ends the taking of clients. Nothing undoes it.
     pub fn stop(&self) {
+        self.1.set(Some(Instant::now()));
         self.0.send_replace(Phase::Stopping);
     }
 
@@ -84,6 +86,12 @@
         self.phase() == to
     }
 
+    /// Whether a request that came whole at this time came so long after the stop began that a kill may lose what
+    /// is not answered of it by then.
+    pub fn late(&self, whole: Instant) -> bool {
+        self.1.get().is_some_and(|stopped| whole > stopped + LINGER)
+    }
+
     /// Waits until clients have been let go for [`LINGER`]: from then on a connection at rest is to be closed.
     pub async fn released(&self) {
         let mut phase = self.0.subscribe();
@@ -107,7 +115,7 @@
 mod tests {
     use super::*;
     use std::pin::pin;
-    use tokio::time::{Instant, timeout};
+    use tokio::time::timeout;
 
     #[tokio::test(start_paused = true)]
     async fn a_resume_straight_after_a_quiesce_releases_nobody() {
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -39,6 +39,8 @@
 const LAST: Duration = Duration::from_millis(3300);
 /// A start waits so long for discovery's first list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
+/// So much longer long answers may take.
+const FLOWS: Duration = Duration::from_secs(60);
 /// Connections that the system may keep waiting.
 const BACKLOG: u32 = 1024;
 /// The share of the memory in which bodies are held; a process that replaces this one needs as much beside it.
@@ -160,8 +162,9 @@
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
     lifecycle.stop();
     engine.end_by(Instant::now() + LAST);
-    // All is answered by `LAST`; a caller that does not take its answer must not keep the program.
-    let ended = timeout(LINGER + LAST, serving).await;
+    // All is answered by `LAST`, but long answers flow on as long as the platform lets them; a caller that does not
+    // take its answer must not keep the program.
+    let ended = timeout(LINGER + LAST + FLOWS, serving).await;
     ended.map_or(Ok(()), |served| served.map_err(|e| format!("front: {e}")))
 }
 
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -277,3 +277,40 @@
         assert_eq!(s.orders.seen.borrow().last().expect("it came").2.len(), length);
     }
 }
+
+/// An upgrade day with large bodies: the old process ended 3.8 s after its stop with long answers under way.
+#[tokio::test]
+async fn a_stop_lets_long_answers_flow_on_and_begins_none_late() {
+    let mut s = scene(settings()).await;
+    s.orders.give([Do::Long(32 << 20, true), Do::Long(1 << 20, true)]);
+    let mut slow = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+    let text = format!("{}Connection: close\r\n\r\n", head("1.1", "look", "long"));
+    slow.write_all(text.as_bytes()).await.expect("open");
+    let mut part = vec![0; 1 << 16];
+    soon(slow.read_exact(&mut part[..12])).await.expect("an answer begins");
+    let mut late = TcpStream::connect(s.proxy.addr).await.expect("it listens");
+    let text = format!("{}Content-Length: 100000\r\n\r\n", head("1.1", "once", "late"));
+    late.write_all(text.as_bytes()).await.expect("open");
+    late.write_all(&vec![b'x'; 50_000]).await.expect("open");
+    s.proxy.terminate().await;
+    let stopped = Instant::now();
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    late.write_all(&vec![b'x'; 50_000]).await.expect("open");
+    let mut answer = String::new();
+    soon(late.read_to_string(&mut answer)).await.expect("closed, not reset");
+    assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    // The slow one takes a little now and then, past the time in which all that is short has its answer.
+    let mut got = 12;
+    while stopped.elapsed() < Duration::from_millis(4500) {
+        got += soon(slow.read(&mut part)).await.expect("open");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    loop {
+        match soon(slow.read(&mut part)).await.expect("open") {
+            0 => break,
+            n => got += n,
+        }
+    }
+    assert!(got > 32 << 20, "cut off after {got} bytes");
+    assert_eq!(s.proxy.ended().await.code(), Some(0));
+}
