--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -341,15 +341,14 @@
     }
 }
 
+/// A proxy with room for 8 callers, and 32 more that are only told so.
+async fn cramped() -> Scene {
+    scene_with(settings(), |config| config["limits"]["sockets"] = 64.into()).await
+}
+
 #[tokio::test]
 async fn callers_at_rest_do_not_keep_others_out() {
-    let orders = Arc::new(Orders::default());
-    let a = Backend::start("a", &orders).await;
-    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
-    let mut config = discovery.config(settings());
-    config["limits"]["sockets"] = 64.into();
-    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
-    discovery.settled().await;
+    let Scene { proxy, .. } = &cramped().await;
     // Some have made a call and rest, some have never said a word; there is room for 40 at the most.
     let (mut rest, mut mute) = (Vec::new(), Vec::new());
     for _ in 0..30 {
@@ -364,13 +363,7 @@
 /// A crowd that asks once and stays, whatever it asks: as places run short, the answer closes its connection.
 #[tokio::test]
 async fn as_places_run_short_no_answered_connection_is_kept() {
-    let orders = Arc::new(Orders::default());
-    let a = Backend::start("a", &orders).await;
-    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
-    let mut config = discovery.config(settings());
-    config["limits"]["sockets"] = 64.into();
-    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
-    discovery.settled().await;
+    let Scene { proxy, .. } = &cramped().await;
     let ready = || hyper::Request::get("/health/ready").header("host", "p").body(Full::default());
     let mut kept = proxy.caller().await;
     assert_eq!(kept.send(ready().expect("well formed")).await.0, 200);
@@ -394,13 +387,7 @@
 /// Peers with half a head each fill all places: they make room like others, and are not waited for.
 #[tokio::test]
 async fn half_heads_do_not_keep_others_out() {
-    let orders = Arc::new(Orders::default());
-    let a = Backend::start("a", &orders).await;
-    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
-    let mut config = discovery.config(settings());
-    config["limits"]["sockets"] = 64.into();
-    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
-    discovery.settled().await;
+    let Scene { proxy, .. } = &cramped().await;
     let mut crowd = Vec::new();
     for _ in 0..60 {
         let mut peer = soon(TcpStream::connect(proxy.addr)).await.expect("the system takes it");
