Add the registry: discovery's list and watch, durable with group commit

Change: a second program, src/bin/registry/, serves GET /registry/instances and its watch as the protocol states them, and takes registrations with a TTL over PUT. A watch is the request's own future on a tokio watch of the newest version. clap, TOML config, tracing JSON lines. Four tests start the program: kill -9 in a burst of 16 writers, torn and spoilt last records, TTL lapse under a watch, bad input with 300 idle connections.

--- /dev/null
+++ b/src/bin/registry/server.rs
@@ -0,0 +1,193 @@
+//! Discovery over HTTP/1.1: the list, the watch, and registrations.
+
+use crate::store::Entry;
+use crate::writer::{Order, Orders, Shared};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, oneshot};
+use tokio::time::timeout;
+use tracing::{debug, warn};
+
+/// The longest a watch waits (PROTOCOL, "Discovery").
+pub const MAX_WAIT_MS: u64 = 60_000;
+/// Shortest and longest TTL of a registration.
+pub const TTL_MS: (u64, u64) = (100, 86_400_000);
+/// At most so many entries in one write.
+const MAX_ENTRIES: usize = 10_000;
+
+/// Limits of the serving side.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    /// Connections open at once; more are closed as they come.
+    pub connections: usize,
+    /// A request's head must be in within this.
+    pub header_timeout: Duration,
+    /// Longest body of a write, in bytes.
+    pub max_body: usize,
+}
+
+/// A registration: the same entries as the list, each to be renewed within its TTL.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Write {
+    ttl_ms: u64,
+    hosts: Vec<Entry>,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn answer(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    let kind = if status == StatusCode::OK { "application/json" } else { "text/plain" };
+    response.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
+    response
+}
+
+fn refuse(status: StatusCode, why: impl std::fmt::Display) -> Answer {
+    answer(status, format!("{why}\n"))
+}
+
+/// Serves for ever.
+pub async fn serve(listener: TcpListener, shared: Arc<Shared>, orders: Orders, limits: Limits) {
+    let places = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(e) => {
+                // Out of descriptors, most likely: wait for some to come back rather than spin.
+                warn!(error = %e, "accept failed");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            debug!(%peer, "connection closed: every place is taken");
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let (shared, orders) = (shared.clone(), orders.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |request| handle(request, shared.clone(), orders.clone(), limits));
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(limits.header_timeout)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = connection.await {
+                debug!(%peer, error = %e, "connection ended");
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn handle(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+    orders: Orders,
+    limits: Limits,
+) -> Result<Answer, std::convert::Infallible> {
+    if request.uri().path() != "/registry/instances" {
+        return Ok(refuse(StatusCode::NOT_FOUND, "no such path; the list is at /registry/instances"));
+    }
+    Ok(match *request.method() {
+        Method::GET => read(request.uri().query().unwrap_or(""), &shared).await,
+        Method::PUT => write(request, &orders, limits).await,
+        _ => refuse(StatusCode::METHOD_NOT_ALLOWED, "GET reads the list, PUT registers"),
+    })
+}
+
+/// `after` and `wait_ms` of a watch.
+fn query(text: &str) -> Result<(Option<u64>, u64), String> {
+    let (mut after, mut wait) = (None, 0);
+    for pair in text.split('&').filter(|p| !p.is_empty()) {
+        let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+        let number = value.parse::<u64>().map_err(|_| format!("{key}: {value:?} is not a whole number"))?;
+        match key {
+            "after" => after = Some(number),
+            "wait_ms" if number <= MAX_WAIT_MS => wait = number,
+            "wait_ms" => return Err(format!("wait_ms: at most {MAX_WAIT_MS}")),
+            _ => return Err(format!("{key}: unknown; the list takes after and wait_ms")),
+        }
+    }
+    Ok((after, wait))
+}
+
+async fn read(query_text: &str, shared: &Shared) -> Answer {
+    let (after, wait) = match query(query_text) {
+        Ok(asked) => asked,
+        Err(why) => return refuse(StatusCode::BAD_REQUEST, why),
+    };
+    if let Some(after) = after {
+        let mut newest = shared.newest.subscribe();
+        if *newest.borrow_and_update() == after && wait > 0 {
+            // Nothing newer yet: wait for it, or for the end of the wait. The waiting is this future alone.
+            let _ = timeout(Duration::from_millis(wait), newest.wait_for(|seq| *seq > after)).await;
+        }
+    }
+    let state = shared.state.read().unwrap_or_else(|p| p.into_inner());
+    let page = match after {
+        Some(after) => state.since(after),
+        None => state.whole(),
+    };
+    match serde_json::to_vec(&page) {
+        Ok(body) => answer(StatusCode::OK, body),
+        Err(e) => refuse(StatusCode::INTERNAL_SERVER_ERROR, e),
+    }
+}
+
+async fn write(request: Request<Incoming>, orders: &Orders, limits: Limits) -> Answer {
+    let body = match Limited::new(request.into_body(), limits.max_body).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => {
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE, format!("at most {} bytes", limits.max_body));
+        }
+        Err(e) => return refuse(StatusCode::BAD_REQUEST, e),
+    };
+    let write: Write = match serde_json::from_slice(&body) {
+        Ok(write) => write,
+        Err(e) => return refuse(StatusCode::BAD_REQUEST, format!("registration: {e}")),
+    };
+    if !(TTL_MS.0..=TTL_MS.1).contains(&write.ttl_ms) {
+        return refuse(StatusCode::BAD_REQUEST, format!("ttl_ms: from {} to {}", TTL_MS.0, TTL_MS.1));
+    }
+    if write.hosts.len() > MAX_ENTRIES {
+        return refuse(StatusCode::BAD_REQUEST, format!("hosts: at most {MAX_ENTRIES} in one write"));
+    }
+    if let Some(why) = write.hosts.iter().find_map(Entry::invalid) {
+        return refuse(StatusCode::BAD_REQUEST, why);
+    }
+    let (told, answered) = oneshot::channel();
+    let order = Order { entries: write.hosts, ttl: Duration::from_millis(write.ttl_ms), answer: told };
+    if orders.send(order).is_err() {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "the writer has stopped");
+    }
+    match answered.await {
+        Ok(Ok(seq)) => answer(StatusCode::OK, format!("{{\"seq\":{seq}}}")),
+        Ok(Err(why)) => refuse(StatusCode::SERVICE_UNAVAILABLE, why),
+        Err(_) => refuse(StatusCode::SERVICE_UNAVAILABLE, "the writer has stopped"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::query;
+
+    #[test]
+    fn a_watch_is_read_or_refused_plainly() {
+        assert_eq!(query("after=4&wait_ms=60000"), Ok((Some(4), 60_000)));
+        assert_eq!(query(""), Ok((None, 0)));
+        assert!(query("wait_ms=60001").is_err());
+        assert!(query("after=-1").is_err());
+        assert!(query("after=1&colour=red").is_err());
+    }
+}
--- /dev/null
+++ b/tests/registry_rig/mod.rs
@@ -0,0 +1,157 @@
+//! The registry as a started process on loopback, and a plain client of it.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// No test waits longer than this for what must come.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// Waits for what must come.
+pub async fn soon<T>(what: impl Future<Output = T>) -> T {
+    timeout(LONG, what).await.expect("it comes")
+}
+
+/// A fresh data directory under the target directory, gone when the test starts again.
+pub fn data_dir(name: &str) -> PathBuf {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("registry-{name}"));
+    let _ = std::fs::remove_dir_all(&dir);
+    dir
+}
+
+/// A started registry and the JSON lines it logs.
+pub struct Registry {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub logs: mpsc::UnboundedReceiver<Value>,
+    /// Lines logged before it listened.
+    early: Vec<Value>,
+}
+
+impl Registry {
+    /// Starts one on port 0 over `data`, with more flags.
+    pub async fn start(data: &Path, flags: &[&str]) -> Registry {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_registry"));
+        command.args(["--listen", "127.0.0.1:0", "--log-json", "--data"]).arg(data).args(flags);
+        command.env("RUST_LOG", "info").stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.kill_on_drop(true).spawn().expect("the registry starts");
+        let (tell, mut logs) = mpsc::unbounded_channel();
+        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                let _ = tell.send(serde_json::from_str(&line).unwrap_or(Value::String(line)));
+            }
+        });
+        let mut early = Vec::new();
+        let said = soon(async {
+            loop {
+                let line = logs.recv().await.expect("the registry says where it listens");
+                if line["message"] == "listening" {
+                    return line;
+                }
+                early.push(line);
+            }
+        })
+        .await;
+        let address = said["address"].as_str().expect("an address").parse().expect("an address");
+        Registry { child, address, logs, early }
+    }
+
+    /// The next logged line with this message, passing over others.
+    pub async fn logged(&mut self, message: &str) -> Value {
+        if let Some(at) = self.early.iter().position(|line| line["message"] == message) {
+            return self.early.remove(at);
+        }
+        soon(async {
+            loop {
+                let line = self.logs.recv().await.expect("the registry logs");
+                if line["message"] == message {
+                    return line;
+                }
+            }
+        })
+        .await
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub async fn kill(mut self) {
+        self.child.start_kill().expect("kill");
+        soon(self.child.wait()).await.expect("it ends");
+    }
+
+    /// Sends a signal by name, as `kill` does.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().expect("running").to_string();
+        let done = std::process::Command::new("kill").args(["-s", name, &pid]).status().expect("kill runs");
+        assert!(done.success());
+    }
+
+    /// Descriptors the process holds now.
+    pub fn descriptors(&self) -> usize {
+        let pid = self.child.id().expect("running");
+        std::fs::read_dir(format!("/proc/{pid}/fd")).expect("proc").count()
+    }
+
+    /// One call on a new connection.
+    pub async fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        call(self.address, method, path, body.as_bytes().to_vec()).await.expect("answered")
+    }
+
+    /// Registers entries with a TTL; the answer's version.
+    pub async fn put(&self, ttl_ms: u64, hosts: Vec<Value>) -> u64 {
+        let body = json!({"ttl_ms": ttl_ms, "hosts": hosts}).to_string();
+        let (status, text) = self.call("PUT", "/registry/instances", &body).await;
+        assert_eq!(status, 200, "{text}");
+        serde_json::from_str::<Value>(&text).expect("json")["seq"].as_u64().expect("seq")
+    }
+
+    /// The list, or a watch's answer.
+    pub async fn get(&self, query: &str) -> Value {
+        let (status, text) = self.call("GET", &format!("/registry/instances{query}"), "").await;
+        assert_eq!(status, 200, "{text}");
+        serde_json::from_str(&text).expect("json")
+    }
+}
+
+/// One call on a new connection; an error where the connection fails.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<(u16, String), String> {
+    let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    tokio::spawn(connection);
+    let request = Request::builder().method(method).uri(path).header("host", address.to_string());
+    let request = request.body(Full::new(Bytes::from(body))).map_err(|e| e.to_string())?;
+    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.map_err(|e| e.to_string())?.to_bytes();
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// An entry as discovery lists it.
+pub fn entry(host: &str, dial: SocketAddr, health: &str) -> Value {
+    json!({"host": host, "dial": dial.to_string(), "site": "a", "class": "m2", "block": 1, "health": health,
+        "share": 1.0, "born_ms": 0})
+}
+
+/// The names in a list.
+pub fn names(page: &Value) -> Vec<String> {
+    let hosts = page["hosts"].as_array().expect("hosts");
+    hosts.iter().map(|h| h["host"].as_str().expect("host").to_string()).collect()
+}
