--- a/src/bin/registry/main.rs
+++ b/src/bin/registry/main.rs
@@ -132,8 +132,9 @@
         .name("writer".into())
         .spawn(move || writer::run(log, for_writer, taken, snapshot_every))
         .map_err(|e| format!("writer: {e}"))?;
+    // One thread serves; the writer thread waits on the disk, and the proxy's build keeps the tokio features it had.
     let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().map_err(|e| e.to_string())?;
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     runtime.block_on(async move {
         let listener = TcpListener::bind(&listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
         let address = listener.local_addr().map_err(|e| e.to_string())?;
