Withhold removals of a suspicious list in the module until they are confirmed

Need: a registry that restarts empty answers an empty whole list, and the proxy would drop every backend at once (engine.rs withdrew what a whole list lacked, and the module emptied its ring).

Change: Settings::list_guard (panic threshold, hold), off by default. News that leaves no more than that share of the backends in service keeps the removed ones in service; the module asks for the whole list again (Action::Relist, at a jittered time) and believes it once it has lacked them for hold. One that is unlisted and fails two connects in a row is gone at once. What leaves service is now told by Action::Withdraw; the engine decides nothing about it any more.

--- a/src/api.rs
+++ b/src/api.rs
@@ -39,6 +39,18 @@
     pub rules: Rules,
     /// How the operators weigh and price results.
     pub goal: Goal,
+    /// When a list is too bad to be believed at once.
+    pub list_guard: ListGuard,
+}
+
+/// Protects a copy from a list service that has lost its state: what a suspicious list lacks stays in service until
+/// the list has stood for a while or the backend's own calls prove it right.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ListGuard {
+    /// News that leaves this share of the backends in service, or less, is suspicious; 0 believes all news.
+    pub panic_threshold: f64,
+    /// The removals of suspicious news are believed if a whole list still lacks the backends after this time.
+    pub hold: f64,
 }
 
 /// A class of requests.
@@ -323,6 +335,13 @@
         /// On or off.
         on: bool,
     },
+    /// The list has told, or calls have proved, that a backend takes nothing new: nothing goes to it any more.
+    Withdraw {
+        /// The backend.
+        backend: BackendId,
+    },
+    /// Ask for the whole list, which may confirm what a suspicious one told.
+    Relist,
 }
 
 /// The backends in the list, for operators.
@@ -332,6 +351,8 @@
     pub listed: usize,
     /// Those of them that get no ordinary work now: out of service or draining.
     pub excluded: usize,
+    /// Those that stay in service though the list has lost them ([`ListGuard`]).
+    pub unlisted: usize,
 }
 
 /// Why settings were turned down.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -7,6 +7,7 @@
 
 const HOUSEKEEPING: u64 = 0; // timer tokens
 const ASK: u64 = 1;
+const RELIST: u64 = 2;
 const HOUSE_TICKS: f64 = 10.0; // ticks between housekeepings: often enough for holds, rare enough to be cheap
 const AIM_SHARE: f64 = 0.4; // mean latency over the aim at which the limit is full: half may be slower
 const TOLERANCE: f64 = 1.3; // but under this multiple of its class's baseline chance alone would cut
@@ -26,6 +27,7 @@
 const PIN: f64 = 4.0; // means that a call may pin a slot: even of an exponential tail 2 in 100 take longer
 const ERROR_STEP: f64 = 0.125; // weight of one outcome in an error rate
 const ERROR_EJECT: f64 = 0.35; // error rate at which a backend is left ...
+const PROVED: f64 = 0.5; // error rate that one failed connect alone does not reach
 const ERROR_BESIDE: f64 = 3.0; // ... if it is so many times the others', else the trouble is shared
 const ERROR_COST: f64 = 8.0; // a failed call costs more than a slow one
 const SLOW_EJECT: f64 = 2.5; // mean latency, over all backends', at which one is left to recover
@@ -141,6 +143,7 @@
     house: f64,
     ask_backoff: f64,
     asking: bool,
+    relisting: bool, // a timer for it is out
     hold: f64,
     beside: f64, // processes that share this copy's cold budgets
 }
@@ -204,6 +207,11 @@
                 self.asking = false;
                 out.push(Action::Watch { on: true });
             }
+            Event::Wake { token: RELIST } => {
+                self.relisting = false;
+                self.doubt(out);
+                out.extend(self.relisting.then_some(Action::Relist));
+            }
             Event::Wake { .. } => {}
         }
         self.free_held(now, false, out);
@@ -213,7 +221,8 @@
     pub fn census(&self) -> Census {
         let listed = self.backends.values().filter(|b| b.entry.phase != Phase::Gone);
         let avoided = |b: &&Backend| b.entry.phase == Phase::Draining || b.ejected();
-        Census { listed: listed.clone().count(), excluded: listed.filter(avoided).count() }
+        let unlisted = listed.clone().filter(|b| b.unlisted.is_some()).count();
+        Census { listed: listed.clone().count(), excluded: listed.filter(avoided).count(), unlisted }
     }
 
     fn period(&self) -> f64 {
@@ -242,6 +251,14 @@
         for e in entries {
             let known = self.backends.contains_key(&e.backend);
             let b = self.backends.entry(e.backend).or_default();
+            if e.phase == Phase::Gone {
+                // The rest of its entry may be needed still: the news of its end may turn out wrong.
+                b.entry.phase = Phase::Gone;
+                if self.ring.binary_search(&e.backend).is_err() {
+                    self.release(e.backend, out);
+                }
+                continue;
+            }
             if !known || b.entry.started_at != e.started_at {
                 // A new process: nothing known of the old one holds. Copies that hear of it together begin
                 // its cold budget at different phases, so that their first sends do not meet.
@@ -250,18 +267,68 @@
                 *b = Backend { calls, slow: 1.0, heard: now, cold_tokens, ..Backend::default() };
             }
             let id = e.backend;
-            b.entry = e;
+            (b.entry, b.unlisted) = (e, None);
             self.release(id, out);
         }
+        self.withhold(now, kind, out);
+        self.rering(now);
+        if before == 0.0 {
+            self.limiter.total = self.limiter.total.max(OVERLAP * self.width);
+        }
+    }
+
+    /// What the list no longer has, or has draining, is withdrawn, unless the news is suspicious: a list
+    /// service that has lost its state takes nearly all backends at once. Those stay, to be judged by their
+    /// own calls, until a whole list has lacked them for long enough.
+    fn withhold(&mut self, now: f64, kind: ListKind, out: &mut Vec<Action>) {
+        let (guard, was) = (self.s.list_guard, std::mem::take(&mut self.ring));
+        let ready = |b: &Backend| b.entry.phase == Phase::Ready;
+        let left = self.backends.values().filter(|b| ready(b) && b.unlisted.is_none()).count() as f64;
+        let few = guard.panic_threshold > 0.0 && left <= guard.panic_threshold * was.len() as f64;
+        for id in was {
+            let Some(b) = self.backends.get_mut(&id).filter(|b| !ready(b)) else { continue };
+            let (gone, since) = (b.entry.phase == Phase::Gone, b.unlisted.unwrap_or(now));
+            let doubted = gone && (few || b.unlisted.is_some());
+            if doubted && (kind == ListKind::Delta || now < since + guard.hold) {
+                (b.unlisted, b.entry.phase) = (Some(since), Phase::Ready);
+                continue;
+            }
+            out.push(Action::Withdraw { backend: id });
+            if gone && kind == ListKind::Delta {
+                self.release(id, out);
+            }
+        }
+        self.doubt(out);
+    }
+
+    /// While the list is doubted, it is asked for again: copies that lost it together ask each in its time.
+    fn doubt(&mut self, out: &mut Vec<Action>) {
+        let doubted = self.backends.values().any(|b| b.unlisted.is_some() && b.entry.phase == Phase::Ready);
+        if doubted && !std::mem::replace(&mut self.relisting, true) {
+            let delay = (self.s.list_guard.hold * (0.5 + 0.5 * self.rng.f64())).max(self.period());
+            out.push(Action::WakeMe { delay, token: RELIST });
+        }
+    }
+
+    /// Takes those out of the ring whose end their own calls have proved.
+    fn drop_proved(&mut self, now: f64, out: &mut Vec<Action>) {
+        let gone = |id: &&BackendId| self.backends[*id].entry.phase == Phase::Gone;
+        let proved: Vec<BackendId> = self.ring.iter().filter(gone).copied().collect();
+        out.extend(proved.iter().map(|&backend| Action::Withdraw { backend }));
+        proved.iter().for_each(|&id| self.release(id, out));
+        if !proved.is_empty() {
+            self.rering(now);
+        }
+    }
+
+    /// The backends that take work, anew, and what follows from them.
+    fn rering(&mut self, now: f64) {
         self.backends.retain(|_, b| !b.calls.is_empty() || b.entry.phase != Phase::Gone);
         let ready = self.backends.iter().filter(|(_, b)| b.entry.phase == Phase::Ready);
         self.ring = ready.map(|(&id, _)| id).collect();
         let after = self.ring.len() as f64;
         self.weight = self.ring.iter().map(|i| self.backends[i].entry.weight).sum::<f64>() / after.max(1.0);
         self.resize(now, 0.0);
-        if before == 0.0 {
-            self.limiter.total = self.limiter.total.max(OVERLAP * self.width);
-        }
     }
 
     /// Closes what is idle to a draining backend: at the notice, and once more after each outcome there.
@@ -625,7 +692,10 @@
                 b.error += (1.0 - b.error) * ERROR_STEP * (1.0 + 2.0 * unreachable);
                 self.error += (1.0 - self.error) * 0.02;
                 let beside = (ERROR_BESIDE * self.error).min((1.0 + self.error) / 2.0);
-                if b.ejected() || b.error > beside.max(ERROR_EJECT) {
+                if b.unlisted.is_some() && unreachable > 0.0 && b.error > PROVED {
+                    // Not in the list and not to be connected to: two witnesses.
+                    (b.entry.phase, b.unlisted) = (Phase::Gone, None);
+                } else if b.ejected() || b.error > beside.max(ERROR_EJECT) {
                     self.eject(now, e.backend);
                 }
             }
@@ -679,6 +749,7 @@
         self.lines.keys().copied().collect::<Vec<_>>().into_iter().for_each(|key| self.pass_turn(now, key));
         let busy = self.backends.iter().filter(|(_, b)| !b.calls.is_empty()).map(|(&id, _)| id);
         busy.collect::<Vec<_>>().into_iter().for_each(|id| self.unpin(now, id, PIN));
+        self.drop_proved(now, out);
         self.free_held(now, true, out);
         // Cold budgets grow with what this copy's backends prove to bear, at the warmth surely reached.
         let warm: f64 = self.subset.iter().map(|i| self.backends[i].warmth(&self.s.rules, now)).sum();
--- a/src/bin/heathroad/counters.rs
+++ b/src/bin/heathroad/counters.rs
@@ -98,7 +98,7 @@
     #[test]
     fn each_request_ends_in_one_count_and_leaves_nothing_in_flight() {
         let counters = Counters::new(vec!["look".into(), "once".into()]);
-        let page = || counters.page(Census { listed: 3, excluded: 1 });
+        let page = || counters.page(Census { listed: 3, excluded: 1, unlisted: 0 });
         let (mut served, mut refused, mut left) =
             (counters.record(0), counters.record(1), counters.record(1));
         served.taken();
--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -124,6 +124,9 @@
             }
             continue;
         }
+        if engine.wants_whole_list() {
+            seq = None;
+        }
         let asked = Instant::now();
         match ask(&mut link, address, seq).await {
             Ok(page) => {
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -132,6 +132,8 @@
     clock: Clock,
     facts: Facts,
     watching: watch::Sender<bool>,
+    /// The module wants the whole list anew.
+    relist: Cell<bool>,
     /// From when on nothing is awaited any more; set by a planned stop.
     last: Cell<Option<Instant>>,
 }
@@ -154,7 +156,7 @@
             actions: Vec::new(),
         };
         let (state, clock, last) = (RefCell::new(state), Clock::new(), Cell::new(None));
-        Ok(Rc::new(Engine { state, pool, clock, facts, watching, last }))
+        Ok(Rc::new(Engine { state, pool, clock, facts, watching, relist: Cell::default(), last }))
     }
 
     /// Whether requests can be decided: some backend takes work.
@@ -221,11 +223,6 @@
     pub fn list(self: &Rc<Self>, kind: ListKind, hosts: Vec<Host>) {
         let entries = {
             let s = &mut *self.state.borrow_mut();
-            if kind != ListKind::Delta {
-                let named: Vec<BackendId> = hosts.iter().map(|h| s.id(&h.host)).collect();
-                let gone: Vec<_> = s.targets.keys().filter(|id| !named.contains(id)).copied().collect();
-                gone.into_iter().for_each(|id| s.withdraw(id, &self.pool));
-            }
             hosts.into_iter().filter_map(|h| self.entry(s, h)).collect()
         };
         self.tell(Event::List { kind, entries });
@@ -236,6 +233,11 @@
         self.tell(Event::Company { processes });
     }
 
+    /// Whether the whole list is wanted anew; asked once.
+    pub fn wants_whole_list(&self) -> bool {
+        self.relist.take()
+    }
+
     /// A call to discovery failed.
     pub fn list_failed(self: &Rc<Self>) {
         self.watching.send_replace(false);
@@ -261,7 +263,6 @@
         let backend = s.id(&h.host);
         let Some(zone) = self.facts.site.zones.iter().position(|z| *z == h.site) else {
             if h.health == Health::Deleted {
-                s.withdraw(backend, &self.pool);
                 return Some(Entry { backend, phase: Phase::Gone, ..Entry::default() });
             }
             eprintln!("heathroad: discovery: {}: zone {:?} is unknown, passed over", h.host, h.site);
@@ -272,21 +273,17 @@
             Health::Draining => Phase::Draining,
             Health::Deleted => Phase::Gone,
         };
-        match (phase, h.dial) {
-            (Phase::Ready, Some(dial)) => {
-                // A new process knows nothing of the old one's connections. Where its machine fell silent
-                // they look open still, and a request on one would end as a reset, which may have run.
-                let born_ms = h.born_ms;
-                let same =
-                    |t: &Rc<Target>| t.dial == dial && t.born_ms == born_ms && t.drained.get().is_none();
-                let same = s.targets.get(&backend).is_some_and(same);
-                if !same {
-                    s.withdraw(backend, &self.pool);
-                    let target = Target { dial, born_ms, drained: Cell::new(None) };
-                    s.targets.insert(backend, Rc::new(target));
-                }
+        // The module says what becomes of those that the list has drain or gone.
+        if let (Phase::Ready, Some(dial)) = (phase, h.dial) {
+            // A new process knows nothing of the old one's connections. Where its machine fell silent
+            // they look open still, and a request on one would end as a reset, which may have run.
+            let born_ms = h.born_ms;
+            let same = |t: &Rc<Target>| t.dial == dial && t.born_ms == born_ms && t.drained.get().is_none();
+            if !s.targets.get(&backend).is_some_and(same) {
+                s.withdraw(backend, &self.pool);
+                let target = Target { dial, born_ms, drained: Cell::new(None) };
+                s.targets.insert(backend, Rc::new(target));
             }
-            _ => s.withdraw(backend, &self.pool),
         }
         let (zone, started_at, weight, cell) = (zone as u16, h.born_ms.max(0.0), h.share.max(0.0), h.block);
         Some(Entry { backend, phase, zone, started_at, weight, cell })
@@ -337,6 +334,13 @@
             Action::Watch { on } => {
                 self.watching.send_replace(on);
             }
+            Action::Withdraw { backend } => s.withdraw(backend, &self.pool),
+            Action::Relist => {
+                let kept = s.balancer.census().unlisted;
+                eprintln!("heathroad: discovery: {kept} backends stay in service though the list lacks them");
+                self.relist.set(true);
+                self.watching.send_replace(true);
+            }
         }
     }
 
--- a/src/bin/turnshift-drill/wire.rs
+++ b/src/bin/turnshift-drill/wire.rs
@@ -297,6 +297,8 @@
             Action::WakeMe { .. } => 5,
             Action::Close { .. } => 7,
             Action::Watch { .. } => 11,
+            // The simulator follows its own list; the guard, which asks for one, is off there.
+            Action::Withdraw { .. } | Action::Relist => return,
         };
         self.head(code, instance);
         let b = &mut self.bytes;
@@ -321,6 +323,7 @@
             }
             Action::Close { backend } => b.extend(backend.to_le_bytes()),
             Action::Watch { on } => b.push(u8::from(*on)),
+            Action::Withdraw { .. } | Action::Relist => {}
         }
     }
     /// The whole reply.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -99,6 +99,9 @@
         ("goal.cross_zone".into(), s.goal.cross_zone),
         ("caps.max_retry_after".into(), s.caps.max_retry_after),
         ("classes".into(), s.classes.len() as f64 - 1.0),
+        ("list_guard.panic_threshold".into(), s.list_guard.panic_threshold),
+        ("list_guard.panic_threshold".into(), 1.0 - s.list_guard.panic_threshold),
+        ("list_guard.hold".into(), s.list_guard.hold),
     ];
     for (i, c) in s.classes.iter().enumerate() {
         let of_class = [("aim", c.aim - 1e-3), ("points", c.points)];
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,6 +227,7 @@
             settle_after_doubt: f.guarantees.settle_after_doubt,
         },
         goal: api::Goal { worst_class: f.goal.worst_class, cross_zone: f.prices.cross_zone },
+        list_guard: api::ListGuard::default(),
     };
     Ok(Facts { settings, site })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,7 @@
     pub ejected_until: f64, // 0: in service
     pub ejections: u32,
     pub cold_tokens: f64,
+    pub unlisted: Option<f64>, // since when the list lacks it and is not believed
 }
 
 /// An attempt of a request.
