--- a/benches/registry.rs
+++ b/benches/registry.rs
@@ -6,6 +6,8 @@
 
 #[path = "../tests/registry_rig/mod.rs"]
 mod registry_rig;
+#[path = "../tests/waits/mod.rs"]
+mod waits;
 
 use hdrhistogram::Histogram;
 use registry_rig::*;
--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -1,17 +1,21 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
 use crate::discovery::Page;
+use clap::Parser;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use std::env;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use turnshift::api::ListGuard;
 use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
 pub struct Config {
     /// Where callers connect.
     pub listen: SocketAddr,
-    /// Where discovery, or its agent, answers.
-    pub discovery: SocketAddr,
+    /// Where discovery, or its agent, answers; the preferred one first.
+    pub discovery: Vec<SocketAddr>,
     /// Where operators call, if anywhere.
     pub ops: Option<SocketAddr>,
     /// Seed of the module's random numbers.
@@ -24,17 +28,64 @@
     pub known: Option<Page>,
     /// The settings.
     pub facts: Facts,
+    /// Where all this was read, for a reload.
+    pub origin: Origin,
 }
 
+/// The command line. What it names goes before the environment, and that before the file.
+#[derive(Parser)]
+#[command(name = "heathroad", version, about = "A load-balancing proxy for one tier of services")]
+pub struct Args {
+    /// A TOML file with the same keys as the JSON that RELAY_CONFIG names, which is read without it.
+    #[arg(long, conflicts_with = "local")]
+    config: Option<PathBuf>,
+    /// Run on the embedded configuration for trying things out on this machine (deploy/local.toml).
+    #[arg(long)]
+    local: bool,
+    /// Address to listen on.
+    #[arg(long)]
+    listen: Option<String>,
+    /// Addresses of discovery, the preferred one first, parted by commas.
+    #[arg(long)]
+    discovery: Option<String>,
+    /// Address that operators call.
+    #[arg(long)]
+    ops: Option<String>,
+}
+
+/// The platform's file has keys that nothing here needs; they are passed over.
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
-    discovery: Option<String>,
+    discovery: Option<Addresses>,
     ops: Option<String>,
     seed: String,
     limits: Limits,
     known: Option<Page>,
     settings: serde_json::Value,
+    list_guard: Option<Guard>,
+}
+
+/// The operators' own file: a key that is not known is a slip of the pen.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnFile {
+    listen: Option<String>,
+    discovery: Option<Addresses>,
+    ops: Option<String>,
+    seed: Option<String>,
+    limits: Limits,
+    settings: serde_json::Value,
+    #[serde(default)]
+    list_guard: Guard,
+}
+
+/// One address, several parted by commas, or a list of them.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Addresses {
+    One(String),
+    Many(Vec<String>),
 }
 
 #[derive(Deserialize)]
@@ -43,41 +94,117 @@
     memory_mb: usize,
 }
 
+/// When a list is too bad to be believed at once.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Guard {
+    panic_threshold: f64,
+    hold_ms: f64,
+}
+
+impl Default for Guard {
+    fn default() -> Self {
+        Guard { panic_threshold: 0.1, hold_ms: 30_000.0 }
+    }
+}
+
 /// Fewer descriptors than this leave no room for work.
 const MIN_SOCKETS: usize = 64;
+/// More registries than this are a mistake.
+const MAX_REGISTRIES: usize = 16;
 
-/// Reads the environment and the file that it names.
-pub fn load() -> Result<Config, String> {
-    let told = |name| env::var(name).ok();
-    parse(&file()?, told("RELAY_LISTEN"), told("RELAY_DISCOVERY"), told("RELAY_OPS"))
+/// Where the configuration stands.
+#[derive(Clone)]
+pub enum Origin {
+    /// The JSON file that the platform names in RELAY_CONFIG.
+    Platform(PathBuf),
+    /// The TOML file of `--config`.
+    Own(PathBuf),
+    /// The TOML text of `--local`.
+    Local,
 }
 
-/// Where discovery answers by the file as it is now: it may have been replaced since the start, which the
-/// environment does not show.
-pub fn discovery() -> Result<SocketAddr, String> {
-    #[derive(Deserialize)]
-    struct Moved {
-        discovery: Option<String>,
+impl Origin {
+    fn find(args: &Args) -> Result<Self, String> {
+        if args.local {
+            return Ok(Origin::Local);
+        }
+        let platforms = || env::var_os("RELAY_CONFIG").map(|path| Origin::Platform(path.into()));
+        let found = args.config.clone().map(Origin::Own).or_else(platforms);
+        found.ok_or_else(|| "RELAY_CONFIG is not set, and neither --config nor --local is given".to_string())
+    }
+
+    /// Where discovery answers by the file as it is now: it may have been replaced since the start, which the
+    /// environment does not show. Nothing else of the file is looked at.
+    pub fn discovery(&self) -> Result<Vec<SocketAddr>, String> {
+        #[derive(Deserialize)]
+        struct Moved {
+            discovery: Option<Addresses>,
+        }
+        addresses(self.parse::<Moved>()?.discovery)
+    }
+
+    fn read(&self) -> Result<File, String> {
+        if let Origin::Platform(_) = self {
+            return self.parse();
+        }
+        let own: OwnFile = self.parse()?;
+        Ok(File {
+            listen: own.listen,
+            discovery: own.discovery,
+            ops: own.ops,
+            seed: own.seed.unwrap_or_else(|| format!("{:x}", fastrand::u64(..))),
+            limits: own.limits,
+            known: None,
+            settings: own.settings,
+            list_guard: Some(own.list_guard),
+        })
+    }
+
+    /// Parses the text in the form that it has where it stands; an error names the key.
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, String> {
+        let read =
+            |path: &Path| std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()));
+        let text = match self {
+            Origin::Platform(path) => read(path).map_err(|e| format!("RELAY_CONFIG: {e}"))?,
+            Origin::Own(path) => read(path).map_err(|e| format!("config: {e}"))?,
+            Origin::Local => include_str!("../../../deploy/local.toml").to_string(),
+        };
+        if let Origin::Platform(_) = self {
+            let json = &mut serde_json::Deserializer::from_str(&text);
+            return serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"));
+        }
+        // TOML's own message has several lines, and what is logged has one.
+        let wrong =
+            |key: &str, e: &toml::de::Error| format!("config: {key}: {}", e.message().replace('\n', "; "));
+        let toml = toml::Deserializer::parse(&text).map_err(|e| wrong("not TOML", &e))?;
+        serde_path_to_error::deserialize(toml).map_err(|e| wrong(&e.path().to_string(), e.inner()))
     }
-    let moved: Moved = serde_json::from_slice(&file()?).map_err(|e| format!("config: {e}"))?;
-    address("discovery", moved.discovery)
 }
 
-fn file() -> Result<Vec<u8>, String> {
-    let path = env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_string())?;
-    std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))
+/// Reads the command line, the environment and the file that either names.
+pub fn load() -> Result<Config, String> {
+    let args = Args::parse();
+    let told = |flag: Option<String>, name| flag.or_else(|| env::var(name).ok());
+    let origin = Origin::find(&args)?;
+    let file = origin.read()?;
+    let discovery = told(args.discovery, "RELAY_DISCOVERY").map(Addresses::One);
+    check(file, origin, told(args.listen, "RELAY_LISTEN"), discovery, told(args.ops, "RELAY_OPS"))
 }
 
-/// The environment's addresses go before the file's.
-fn parse(
-    text: &[u8],
+/// What goes before the file stands beside it.
+fn check(
+    file: File,
+    origin: Origin,
     listen: Option<String>,
-    discovery: Option<String>,
+    discovery: Option<Addresses>,
     ops: Option<String>,
 ) -> Result<Config, String> {
-    let json = &mut serde_json::Deserializer::from_slice(text);
-    let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
-    let facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
+    let mut facts = settings::read(file.settings).map_err(|e| format!("config: {e}"))?;
+    // Under the platform's protocol a change that was told binds at once: there the guard is off unless asked for.
+    facts.settings.list_guard = file
+        .list_guard
+        .map_or(ListGuard::default(), |g| ListGuard { panic_threshold: g.panic_threshold, hold: g.hold_ms });
     let site = &facts.site;
     let wrong = [
         (file.limits.sockets < MIN_SOCKETS, "limits.sockets: too few to work with"),
@@ -96,15 +223,30 @@
     Ok(Config {
         ops,
         listen: address("listen", listen.or(file.listen))?,
-        discovery: address("discovery", discovery.or(file.discovery))?,
+        discovery: addresses(discovery.or(file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("config: seed: {e}"))?,
         sockets: file.limits.sockets,
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
         known: file.known,
         facts,
+        origin,
     })
 }
 
+/// Discovery's addresses, the preferred one first.
+fn addresses(told: Option<Addresses>) -> Result<Vec<SocketAddr>, String> {
+    let told = match told {
+        None => Vec::new(),
+        Some(Addresses::One(text)) => text.split(',').map(|part| part.trim().to_string()).collect(),
+        Some(Addresses::Many(texts)) => texts,
+    };
+    match told.len() {
+        0 => Err("config: discovery: is missing".into()),
+        1..=MAX_REGISTRIES => told.into_iter().map(|text| address("discovery", Some(text))).collect(),
+        _ => Err(format!("config: discovery: at most {MAX_REGISTRIES} addresses")),
+    }
+}
+
 fn address(name: &str, text: Option<String>) -> Result<SocketAddr, String> {
     let text = text.ok_or_else(|| format!("config: {name}: is missing"))?;
     text.parse().map_err(|e| format!("config: {name}: {text}: {e}"))
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -225,7 +225,16 @@
             let s = &mut *self.state.borrow_mut();
             hosts.into_iter().filter_map(|h| self.entry(s, h)).collect()
         };
+        let before = self.census().unlisted;
         self.tell(Event::List { kind, entries });
+        let Census { listed, unlisted, .. } = self.census();
+        if unlisted > 0 && before == 0 {
+            eprintln!(
+                "heathroad: discovery: {unlisted} of {listed} backends stay in service though the list lacks them"
+            );
+        } else if unlisted == 0 && before > 0 {
+            eprintln!("heathroad: discovery: the list is believed again, {listed} backends");
+        }
     }
 
     /// So many processes stand for this copy.
@@ -336,8 +345,6 @@
             }
             Action::Withdraw { backend } => s.withdraw(backend, &self.pool),
             Action::Relist => {
-                let kept = s.balancer.census().unlisted;
-                eprintln!("heathroad: discovery: {kept} backends stay in service though the list lacks them");
                 self.relist.set(true);
                 self.watching.send_replace(true);
             }
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -118,14 +118,17 @@
         // With no list in time, the one that it had must do.
         let _ = timeout(FIRST_LIST, first).await;
     }
+    let origin = config.origin;
     let listener = bind("listening", config.listen, config.ops.is_some())?;
     spawn_local(async move {
         while reloaded.recv().await.is_some() {
-            match config::discovery() {
-                Ok(to) if moved.send_if_modified(|at| std::mem::replace(at, to) != to) => {
-                    eprintln!("heathroad: reloaded, discovery is at {to}");
+            match origin.discovery() {
+                Ok(to) => {
+                    let text = to.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+                    if moved.send_if_modified(|at| std::mem::replace(at, to.clone()) != to) {
+                        eprintln!("heathroad: reloaded, discovery is at {text}");
+                    }
                 }
-                Ok(_) => {}
                 Err(e) => eprintln!("heathroad: not reloaded: {e}"),
             }
         }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -1,6 +1,7 @@
 //! Bodies and answers of any size through the started program.
 
 mod rig;
+mod waits;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -1,6 +1,7 @@
 //! The started program on loopback sockets: what callers get, and what backends see of it.
 
 mod rig;
+mod waits;
 
 use http_body_util::Full;
 use rig::*;
@@ -488,3 +489,39 @@
         assert!(log.contains(says), "{log}");
     }
 }
+
+/// The operators' own TOML file: it does as it stands, and what is wrong in it is named.
+#[tokio::test]
+async fn a_toml_file_of_the_operators_is_read_as_strictly_as_it_is_written() {
+    let orders = Arc::new(Orders::default());
+    let a = Backend::start("a", &orders).await;
+    let discovery = Discovery::start(vec![a.line("SERVING")]).await;
+    let mut good = discovery.config(settings());
+    for platforms in ["name", "seed"] {
+        good.as_object_mut().expect("a table").remove(platforms);
+    }
+    good["limits"].as_object_mut().expect("a table").remove("cores");
+    let write = |config: &serde_json::Value| {
+        let path = write_config(&toml::to_string(config).expect("TOML")).with_extension("toml");
+        std::fs::rename(path.with_extension("json"), &path).expect("moved");
+        path
+    };
+    let (mut odd_key, mut odd_guard, mut many) = (good.clone(), good.clone(), good.clone());
+    odd_key["discovry"] = "127.0.0.1:1".into();
+    odd_guard["list_guard"] = serde_json::json!({"panic_threshold": 1.5});
+    many["discovery"] = vec!["127.0.0.1:1"; 17].into();
+    for (config, says) in
+        [(odd_key, "discovry"), (odd_guard, "list_guard.panic_threshold"), (many, "at most 16")]
+    {
+        let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_heathroad"));
+        let program = program.env_remove("RELAY_DISCOVERY").env_remove("RELAY_LISTEN").arg("--config");
+        let program = program.arg(write(&config)).output().expect("it starts");
+        let log = String::from_utf8(program.stderr).expect("text");
+        assert!(!program.status.success() && log.lines().count() == 1, "{log}");
+        assert!(log.contains(says), "{log}");
+    }
+    let own = format!("unset RELAY_CONFIG RELAY_DISCOVERY; exec \"$0\" --config {}", write(&good).display());
+    let proxy = Proxy::start_as(&good, &own).await;
+    discovery.settled().await;
+    assert_eq!(proxy.call("look").await, (200, "a".into()));
+}
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -1,6 +1,7 @@
 //! The registry as a process: durable versions through kill -9 and torn writes, TTLs, watches, bad input.
 
 mod registry_rig;
+mod waits;
 
 use registry_rig::*;
 use serde_json::Value;
--- a/tests/registry_rig/mod.rs
+++ b/tests/registry_rig/mod.rs
@@ -10,20 +10,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
-/// No test waits longer than this for what must come.
-pub const LONG: Duration = Duration::from_secs(30);
-
-/// Waits for what must come.
-pub async fn soon<T>(what: impl Future<Output = T>) -> T {
-    timeout(LONG, what).await.expect("it comes")
-}
+pub use crate::waits::*;
 
 /// A fresh data directory under the target directory, gone when the test starts again.
 pub fn data_dir(name: &str) -> PathBuf {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -27,13 +27,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
-/// No test waits longer than this for what must come.
-pub const LONG: Duration = Duration::from_secs(30);
-
-/// Waits for what must come.
-pub async fn soon<T>(what: impl Future<Output = T>) -> T {
-    timeout(LONG, what).await.expect("it comes")
-}
+pub use crate::waits::*;
 
 /// What a backend does with a request.
 pub enum Do {
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,6 +1,7 @@
 //! The started program in day-to-day service: the operators' address, drains, stops.
 
 mod rig;
+mod waits;
 
 use http_body_util::{BodyExt, Full};
 use rig::*;
--- /dev/null
+++ b/tests/waits/mod.rs
@@ -0,0 +1,12 @@
+//! How long tests wait for what must come.
+
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// No test waits longer than this for what must come.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// Waits for what must come.
+pub async fn soon<T>(what: impl Future<Output = T>) -> T {
+    timeout(LONG, what).await.expect("it comes")
+}
