Begin versions at the time, keep TTLs on disk and through stalls, bound what callers hold

Need, each found in the landed registry: a record lost to a spoilt byte freed its version for reuse; an empty directory began at version 0, so that a proxy of the old history could later be given deltas of the new; every TTL became 60 s after a restart; a renewal written in the same batch as its lapse was answered and then deleted; a process that stood still (SIGSTOP, disk) lapsed everybody on waking; writes in work could hold 10,000 bodies of 1 MiB, a body could take for ever, and so could the reading of an answer; a whole list was made anew for each caller.

Change: a Start record at every start, at the Unix time in microseconds, with the gap before it kept; the TTL in each record, a Renewal record where only it changes; renewals before lapses; deadlines moved by a stall; 64 MiB of bodies, 408 for late ones, 503 with Retry-After past the bound, a write time-out (tokio-io-timeout); lists made once a version.

--- a/src/bin/registry/main.rs
+++ b/src/bin/registry/main.rs
@@ -10,11 +10,10 @@
 use serde::Deserialize;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::{Arc, RwLock, mpsc};
+use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 use store::{Log, Sync};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tracing::{error, info, warn};
 use writer::Shared;
 
@@ -124,8 +123,7 @@
     if log.since_snapshot >= snapshot_every {
         writer::compact(&mut log, &state);
     }
-    let (newest, _) = watch::channel(state.seq);
-    let shared = Arc::new(Shared { state: RwLock::new(state), newest });
+    let shared = Arc::new(Shared::new(state));
     let (orders, taken) = mpsc::channel();
     let for_writer = shared.clone();
     std::thread::Builder::new()
--- a/src/bin/registry/server.rs
+++ b/src/bin/registry/server.rs
@@ -4,7 +4,7 @@
 use crate::writer::{Order, Orders, Shared};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, header};
@@ -15,12 +15,15 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, oneshot};
 use tokio::time::timeout;
+use tokio_io_timeout::TimeoutStream;
 use tracing::{debug, warn};
 
 /// The longest a watch waits (PROTOCOL, "Discovery").
 pub const MAX_WAIT_MS: u64 = 60_000;
 /// Shortest and longest TTL of a registration.
 pub const TTL_MS: (u64, u64) = (100, 86_400_000);
+/// Bodies of writes that are held at once.
+const MAX_BODIES_KIB: usize = 64 << 10;
 /// At most so many entries in one write.
 const MAX_ENTRIES: usize = 10_000;
 
@@ -54,12 +57,17 @@
 }
 
 fn refuse(status: StatusCode, why: impl std::fmt::Display) -> Answer {
-    answer(status, format!("{why}\n"))
+    let mut response = answer(status, format!("{why}\n"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from_static("1"));
+    }
+    response
 }
 
 /// Serves for ever.
 pub async fn serve(listener: TcpListener, shared: Arc<Shared>, orders: Orders, limits: Limits) {
     let places = Arc::new(Semaphore::new(limits.connections));
+    let bodies = Arc::new(Semaphore::new(MAX_BODIES_KIB.max(limits.max_body / 1024 + 1)));
     loop {
         let (stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -75,13 +83,18 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let (shared, orders) = (shared.clone(), orders.clone());
+        let (shared, orders, bodies) = (shared.clone(), orders.clone(), bodies.clone());
+        // One who takes nothing of its answer is let go, as one who sends nothing is.
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(limits.header_timeout));
         tokio::spawn(async move {
-            let service = service_fn(move |request| handle(request, shared.clone(), orders.clone(), limits));
+            let service = service_fn(move |request| {
+                handle(request, shared.clone(), orders.clone(), bodies.clone(), limits)
+            });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(limits.header_timeout)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(Box::pin(stream)), service);
             if let Err(e) = connection.await {
                 debug!(%peer, error = %e, "connection ended");
             }
@@ -94,6 +107,7 @@
     request: Request<Incoming>,
     shared: Arc<Shared>,
     orders: Orders,
+    bodies: Arc<Semaphore>,
     limits: Limits,
 ) -> Result<Answer, std::convert::Infallible> {
     if request.uri().path() != "/registry/instances" {
@@ -101,7 +115,7 @@
     }
     Ok(match *request.method() {
         Method::GET => read(request.uri().query().unwrap_or(""), &shared).await,
-        Method::PUT => write(request, &orders, limits).await,
+        Method::PUT => write(request, &orders, &bodies, limits).await,
         _ => refuse(StatusCode::METHOD_NOT_ALLOWED, "GET reads the list, PUT registers"),
     })
 }
@@ -134,19 +148,25 @@
             let _ = timeout(Duration::from_millis(wait), newest.wait_for(|seq| *seq > after)).await;
         }
     }
-    let state = shared.state.read().unwrap_or_else(|p| p.into_inner());
-    let page = match after {
-        Some(after) => state.since(after),
-        None => state.whole(),
-    };
-    match serde_json::to_vec(&page) {
+    let page = shared.pages.lock().unwrap_or_else(|p| p.into_inner()).get(&shared.state(), after);
+    match page {
         Ok(body) => answer(StatusCode::OK, body),
         Err(e) => refuse(StatusCode::INTERNAL_SERVER_ERROR, e),
     }
 }
 
-async fn write(request: Request<Incoming>, orders: &Orders, limits: Limits) -> Answer {
-    let body = match Limited::new(request.into_body(), limits.max_body).collect().await {
+async fn write(request: Request<Incoming>, orders: &Orders, bodies: &Semaphore, limits: Limits) -> Answer {
+    // Writes in work hold so much memory together; a body of unknown length counts as the longest.
+    let length =
+        request.body().size_hint().exact().unwrap_or(limits.max_body as u64).min(limits.max_body as u64);
+    let Ok(_held) = bodies.try_acquire_many((length / 1024 + 1) as u32) else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, "too many writes at once");
+    };
+    let body = Limited::new(request.into_body(), limits.max_body).collect();
+    let Ok(body) = timeout(limits.header_timeout, body).await else {
+        return refuse(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
+    };
+    let body = match body {
         Ok(body) => body.to_bytes(),
         Err(e) if e.is::<http_body_util::LengthLimitError>() => {
             return refuse(StatusCode::PAYLOAD_TOO_LARGE, format!("at most {} bytes", limits.max_body));
--- a/src/bin/registry/store.rs
+++ b/src/bin/registry/store.rs
@@ -1,19 +1,24 @@
 //! The registry's state, its log on disk and its snapshots.
 //!
-//! A record is `length (u32 LE) | crc32 of the payload (u32 LE) | payload (JSON)`. The log holds one `Change` a
-//! record; the snapshot holds one `Snapshot` record. See `docs/registry.md`.
+//! On disk a record is `length (u32 LE) | crc32 of the payload (u32 LE) | payload (JSON)`. The log holds `Record`s;
+//! the snapshot holds one `Snapshot`. See `docs/registry.md`.
 
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Longest record accepted on reading: anything longer is taken for garbage.
 const MAX_RECORD: usize = 1 << 20;
 /// A snapshot may be larger than a record.
 const MAX_SNAPSHOT: usize = 1 << 30;
+/// No change takes fewer bytes on disk: so many versions a cut can have held at the most.
+const MIN_RECORD: u64 = 64;
+/// Starts whose gaps are kept; a watch from before the oldest one gets the whole list.
+const MAX_GAPS: usize = 64;
 
 /// One backend, as discovery lists it (PROTOCOL, "Discovery").
 #[derive(Serialize, Deserialize, Clone, PartialEq, Debug)]
@@ -92,6 +97,58 @@
     pub seq: u64,
     /// The entry as it is from this version on.
     pub entry: Entry,
+    /// How long it lives without renewal.
+    #[serde(default = "minute")]
+    pub ttl_ms: u64,
+}
+
+fn minute() -> u64 {
+    60_000
+}
+
+/// What the log holds.
+pub enum Record {
+    /// A change: a new version.
+    Change(Change),
+    /// A renewal with another TTL, which is no new version.
+    Renewal {
+        /// Whose.
+        host: String,
+        /// The TTL from now on.
+        ttl_ms: u64,
+    },
+    /// A start of the registry: versions go on from here.
+    Start(u64),
+}
+
+/// The records that are not changes.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Other {
+    Renewal { host: String, ttl_ms: u64 },
+    Start(u64),
+}
+
+impl Record {
+    fn encode(&self) -> serde_json::Result<Vec<u8>> {
+        match self {
+            Record::Change(change) => serde_json::to_vec(change),
+            Record::Renewal { host, ttl_ms } => {
+                serde_json::to_vec(&Other::Renewal { host: host.clone(), ttl_ms: *ttl_ms })
+            }
+            Record::Start(seq) => serde_json::to_vec(&Other::Start(*seq)),
+        }
+    }
+
+    fn decode(payload: &[u8]) -> Option<Record> {
+        if let Ok(change) = serde_json::from_slice(payload) {
+            return Some(Record::Change(change));
+        }
+        Some(match serde_json::from_slice(payload).ok()? {
+            Other::Renewal { host, ttl_ms } => Record::Renewal { host, ttl_ms },
+            Other::Start(seq) => Record::Start(seq),
+        })
+    }
 }
 
 /// The whole state at one version: the snapshot's record.
@@ -99,6 +156,8 @@
 struct Snapshot {
     seq: u64,
     horizon: u64,
+    #[serde(default)]
+    gaps: VecDeque<(u64, u64)>,
     changes: Vec<Change>,
 }
 
@@ -119,6 +178,9 @@
     pub seq: u64,
     /// Changes after this version are all still known: a watch from an older one gets the whole list.
     pub horizon: u64,
+    /// Versions between these were never given out in this history: a watch from there holds what was lost, or
+    /// another history.
+    gaps: VecDeque<(u64, u64)>,
     slots: HashMap<String, Change>,
     by_seq: BTreeMap<u64, String>,
     tombstones: BTreeSet<u64>,
@@ -130,6 +192,7 @@
         State {
             seq: 0,
             horizon: 0,
+            gaps: VecDeque::new(),
             slots: HashMap::new(),
             by_seq: BTreeMap::new(),
             tombstones: BTreeSet::new(),
@@ -137,9 +200,14 @@
         }
     }
 
-    /// The entry under a name, deleted or not.
-    pub fn get(&self, host: &str) -> Option<&Entry> {
-        self.slots.get(host).map(|c| &c.entry)
+    /// The last change under a name, deleted or not.
+    pub fn get(&self, host: &str) -> Option<&Change> {
+        self.slots.get(host)
+    }
+
+    /// The entries that are not deleted, with their TTLs.
+    pub fn renewable(&self) -> impl Iterator<Item = &Change> {
+        self.slots.values().filter(|c| c.entry.health != Health::Deleted)
     }
 
     /// Entries that are not deleted.
@@ -147,8 +215,34 @@
         self.slots.len() - self.tombstones.len()
     }
 
-    /// Takes a change in; an older one than held is passed over, as when the log repeats what a snapshot holds.
-    pub fn apply(&mut self, change: Change) {
+    /// Takes a record in.
+    pub fn apply(&mut self, record: Record) {
+        match record {
+            Record::Change(change) => self.change(change),
+            Record::Renewal { host, ttl_ms } => {
+                if let Some(change) = self.slots.get_mut(&host) {
+                    change.ttl_ms = ttl_ms;
+                }
+            }
+            Record::Start(seq) => self.start(seq),
+        }
+    }
+
+    /// Versions go on from `seq`: none between the newest one and that was given out, or none that is still known.
+    fn start(&mut self, seq: u64) {
+        if seq <= self.seq {
+            return;
+        }
+        self.gaps.push_back((self.seq, seq));
+        if self.gaps.len() > MAX_GAPS {
+            let oldest = self.gaps.pop_front().map_or(0, |(_, end)| end);
+            self.horizon = self.horizon.max(oldest);
+        }
+        self.seq = seq;
+    }
+
+    /// A change older than held is passed over, as when the log repeats what a snapshot holds.
+    fn change(&mut self, change: Change) {
         if change.seq <= self.seq && self.seq > 0 {
             return;
         }
@@ -178,9 +272,15 @@
         Page { seq: self.seq, whole: true, hosts: hosts.filter(|e| e.health != Health::Deleted).collect() }
     }
 
-    /// What changed after `after`, or the whole list when `after` is too old or from another history.
+    /// Whether all changes after a version are known: it is not too old, nor of another history.
+    pub fn knows(&self, after: u64) -> bool {
+        let lost = self.gaps.iter().any(|&(last, next)| last < after && after < next);
+        after >= self.horizon && after <= self.seq && !lost
+    }
+
+    /// What changed after a version, or the whole list where that is not known.
     pub fn since(&self, after: u64) -> Page<'_> {
-        if after < self.horizon || after > self.seq {
+        if !self.knows(after) {
             return self.whole();
         }
         let hosts = self.by_seq.range(after + 1..).map(|(_, h)| &self.slots[h].entry).collect();
@@ -189,7 +289,7 @@
 
     fn snapshot(&self) -> Snapshot {
         let changes = self.by_seq.values().map(|h| self.slots[h].clone()).collect();
-        Snapshot { seq: self.seq, horizon: self.horizon, changes }
+        Snapshot { seq: self.seq, horizon: self.horizon, gaps: self.gaps.clone(), changes }
     }
 }
 
@@ -262,9 +362,9 @@
                 let (payload, _) = unframe(&bytes, MAX_SNAPSHOT).ok_or_else(bad)?;
                 let snapshot: Snapshot = serde_json::from_slice(payload).map_err(io::Error::other)?;
                 for change in snapshot.changes {
-                    state.apply(change);
+                    state.change(change);
                 }
-                (state.seq, state.horizon) = (snapshot.seq, snapshot.horizon);
+                (state.seq, state.horizon, state.gaps) = (snapshot.seq, snapshot.horizon, snapshot.gaps);
                 found.snapshot_seq = Some(snapshot.seq);
             }
             Err(e) if e.kind() == io::ErrorKind::NotFound => {}
@@ -276,8 +376,8 @@
         file.read_to_end(&mut bytes)?;
         let mut at = 0;
         while let Some((payload, used)) = unframe(&bytes[at..], MAX_RECORD) {
-            let Ok(change) = serde_json::from_slice::<Change>(payload) else { break };
-            state.apply(change);
+            let Some(record) = Record::decode(payload) else { break };
+            state.apply(record);
             found.records += 1;
             at += used;
         }
@@ -287,7 +387,7 @@
             file.sync_all()?;
         }
         sync_dir(dir)?;
-        let log = Log {
+        let mut log = Log {
             dir: dir.to_path_buf(),
             file,
             length: at as u64,
@@ -295,11 +395,17 @@
             sync,
             broken: false,
         };
+        // Every start goes on at the time, in microseconds, so that versions lost with the cut, with an older copy
+        // of the directory or with the directory itself lie in a gap and are not taken for this history's.
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let start = unix.max(state.seq + 1 + found.cut / MIN_RECORD);
+        log.append(&[Record::Start(start)])?;
+        state.start(start);
         Ok((log, state, found))
     }
 
-    /// Writes the changes and makes them durable; on failure the log is put back as it was.
-    pub fn append(&mut self, changes: &[Change]) -> io::Result<()> {
+    /// Writes the records and makes them durable; on failure the log is put back as it was.
+    pub fn append(&mut self, records: &[Record]) -> io::Result<()> {
         if self.broken {
             return Err(io::Error::other(
                 "an earlier failed write could not be taken back; restart the registry",
@@ -308,8 +414,8 @@
         let mut written = 0;
         let result = (|| {
             let mut batch = Vec::new();
-            for change in changes {
-                let record = frame(&serde_json::to_vec(change).map_err(io::Error::other)?);
+            for record in records {
+                let record = frame(&record.encode().map_err(io::Error::other)?);
                 if self.sync == Sync::Each {
                     self.file.write_all(&record)?;
                     self.file.sync_data()?;
@@ -328,7 +434,7 @@
         match result {
             Ok(()) => {
                 self.length += written;
-                self.since_snapshot += changes.len() as u64;
+                self.since_snapshot += records.len() as u64;
                 Ok(())
             }
             Err(e) => {
@@ -375,17 +481,58 @@
         }
     }
 
+    fn change(seq: u64, host: &str, health: Health) -> Record {
+        Record::Change(Change { seq, entry: entry(host, health), ttl_ms: 1000 })
+    }
+
+    #[test]
+    fn a_version_from_a_gap_between_two_starts_gets_the_whole_list() {
+        let mut state = State::new(1);
+        state.apply(change(1, "a", Health::Serving));
+        for start in [10, 20] {
+            state.apply(Record::Start(start));
+            state.apply(Record::Start(start - 1));
+            assert_eq!(state.seq, start, "a start never goes back");
+        }
+        state.apply(change(21, "b", Health::Serving));
+        let whole: Vec<u64> = (0..23).filter(|&after| state.since(after).whole).collect();
+        assert_eq!(whole, (2..10).chain(11..20).chain([22]).collect::<Vec<_>>());
+        for start in 0..MAX_GAPS as u64 {
+            state.apply(Record::Start(100 + start * 10));
+        }
+        assert_eq!((state.gaps.len(), state.horizon), (MAX_GAPS, 20), "old gaps go, the horizon follows");
+        assert!(state.since(1).whole && !state.since(21).whole);
+    }
+
+    #[test]
+    fn each_kind_of_record_is_read_as_it_was_written() {
+        let renewal = Record::Renewal { host: "a".into(), ttl_ms: 7 };
+        for record in [change(3, "a", Health::Serving), renewal, Record::Start(9)] {
+            let text = record.encode().expect("JSON");
+            let again = Record::decode(&text).expect("a record").encode().expect("JSON");
+            assert_eq!(text, again);
+            assert!(text.len() as u64 + 8 >= MIN_RECORD || !matches!(record, Record::Change(_)));
+        }
+        let least = Change {
+            seq: 1,
+            entry: Entry { site: String::new(), dial: None, ..entry("a", Health::Deleted) },
+            ttl_ms: 1,
+        };
+        assert!(Record::Change(least).encode().expect("JSON").len() as u64 + 8 >= MIN_RECORD);
+        assert!(Record::decode(b"{}").is_none());
+    }
+
     #[test]
     fn deltas_hold_what_changed_and_old_ones_get_the_whole_list() {
         let mut state = State::new(1);
-        state.apply(Change { seq: 1, entry: entry("a", Health::Serving) });
-        state.apply(Change { seq: 2, entry: entry("b", Health::Serving) });
-        state.apply(Change { seq: 3, entry: entry("a", Health::Deleted) });
+        state.apply(change(1, "a", Health::Serving));
+        state.apply(change(2, "b", Health::Serving));
+        state.apply(change(3, "a", Health::Deleted));
         let delta = state.since(1);
         assert!(!delta.whole);
         assert_eq!(delta.hosts.iter().map(|e| e.host.as_str()).collect::<Vec<_>>(), ["b", "a"]);
         assert_eq!(state.whole().hosts.len(), 1);
-        state.apply(Change { seq: 4, entry: entry("b", Health::Deleted) });
+        state.apply(change(4, "b", Health::Deleted));
         assert_eq!(state.horizon, 3, "the oldest tombstone went");
         assert!(state.since(2).whole, "a delta from before the horizon would miss a deletion");
         assert!(!state.since(3).whole);
--- a/src/bin/registry/writer.rs
+++ b/src/bin/registry/writer.rs
@@ -1,9 +1,10 @@
 //! The one thread that writes: versions, group commit, TTLs and compaction.
 
-use crate::store::{Change, Entry, Health, Log, State};
+use crate::store::{Change, Entry, Health, Log, Record, State};
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard};
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch};
 use tracing::{info, warn};
@@ -27,21 +28,70 @@
     pub state: RwLock<State>,
     /// The newest durable version: watches wait on it.
     pub newest: watch::Sender<u64>,
+    /// Lists that have been made into bytes.
+    pub pages: Mutex<Pages>,
+}
+
+impl Shared {
+    /// Over a state as it was read from disk.
+    pub fn new(state: State) -> Self {
+        let (newest, _) = watch::channel(state.seq);
+        Shared { state: RwLock::new(state), newest, pages: Mutex::default() }
+    }
+
+    /// The state, to be read.
+    pub fn state(&self) -> RwLockReadGuard<'_, State> {
+        self.state.read().unwrap_or_else(|p| p.into_inner())
+    }
+}
+
+/// Lists as bytes, made once for all that ask the same at one version: after a change, or a start, thousands do.
+#[derive(Default)]
+pub struct Pages {
+    seq: u64,
+    held: usize,
+    made: HashMap<Option<u64>, Bytes>,
+}
+
+impl Pages {
+    /// The list after a version, or the whole one.
+    pub fn get(&mut self, state: &State, after: Option<u64>) -> serde_json::Result<Bytes> {
+        if std::mem::replace(&mut self.seq, state.seq) != state.seq {
+            (self.held, self.made) = (0, HashMap::new());
+        }
+        let after = after.filter(|&seq| state.knows(seq));
+        if let Some(page) = self.made.get(&after) {
+            return Ok(page.clone());
+        }
+        let page = after.map_or_else(|| state.whole(), |seq| state.since(seq));
+        let page = Bytes::from(serde_json::to_vec(&page)?);
+        if self.held + page.len() <= MAX_PAGES {
+            self.held += page.len();
+            self.made.insert(after, page.clone());
+        }
+        Ok(page)
+    }
 }
 
 /// How often lapsed TTLs are looked for.
 const TICK: Duration = Duration::from_millis(50);
 /// At most so many orders share one fsync.
 const MAX_BATCH: usize = 4096;
+/// A lapse that could not be written is tried again after this.
+const RETRY: Duration = Duration::from_secs(1);
+/// Bytes of lists that are kept made.
+const MAX_PAGES: usize = 32 << 20;
+
+/// A pause of the writer's own that is longer, such as a stopped process or disk, must not cost anybody's TTL.
+const STALL: Duration = Duration::from_secs(1);
 
 /// Runs until every sender is gone.
 pub fn run(mut log: Log, shared: Arc<Shared>, orders: Receiver<Order>, snapshot_every: u64) {
     // Deadlines live in memory only: after a restart each entry has its TTL anew.
+    let mut last = Instant::now();
     let mut deadlines: HashMap<String, Instant> = {
-        let state = shared.state.read().unwrap_or_else(|p| p.into_inner());
-        let now = Instant::now();
-        let ttl = Duration::from_secs(60);
-        state.whole().hosts.iter().map(|e| (e.host.clone(), now + ttl)).collect()
+        let state = shared.state();
+        state.renewable().map(|c| (c.entry.host.clone(), last + Duration::from_millis(c.ttl_ms))).collect()
     };
     let mut pending = Vec::new();
     loop {
@@ -57,63 +107,49 @@
             }
         }
         let now = Instant::now();
-        let mut lapsed: Vec<Entry> = Vec::new();
-        deadlines.retain(|host, deadline| {
-            let keep = *deadline > now;
-            if !keep {
-                lapsed.push(lapsed_entry(host, &shared));
+        let stalled = now - std::mem::replace(&mut last, now);
+        if stalled > STALL {
+            warn!(
+                stalled_ms = stalled.as_millis() as u64,
+                "the registry stood still: every TTL is longer by that"
+            );
+            deadlines.values_mut().for_each(|d| *d += stalled);
+        }
+        // Renewals first: one that came in time must not find its entry lapsed.
+        for (entry, ttl) in pending.iter().flat_map(|o| o.entries.iter().map(move |e| (e, o.ttl))) {
+            if entry.health == Health::Deleted {
+                deadlines.remove(&entry.host);
+            } else {
+                deadlines.insert(entry.host.clone(), now + ttl);
             }
-            keep
-        });
+        }
+        let lapsed: Vec<String> = deadlines.extract_if(|_, d| *d <= now).map(|(host, _)| host).collect();
         if pending.is_empty() && lapsed.is_empty() {
             continue;
         }
-        let (changes, seq) = {
-            let state = shared.state.read().unwrap_or_else(|p| p.into_inner());
-            let mut seq = state.seq;
-            let mut batch: HashMap<&str, usize> = HashMap::new();
-            let mut changes: Vec<Change> = Vec::new();
-            let entries = pending.iter().flat_map(|o| o.entries.iter().map(move |e| (e, o.ttl)));
-            for (entry, ttl) in entries.map(|(e, t)| (e, Some(t))).chain(lapsed.iter().map(|e| (e, None))) {
-                let held =
-                    batch.get(entry.host.as_str()).map(|&i| &changes[i].entry).or(state.get(&entry.host));
-                if let Some(ttl) = ttl.filter(|_| entry.health != Health::Deleted) {
-                    deadlines.insert(entry.host.clone(), now + ttl);
-                } else if ttl.is_some() {
-                    deadlines.remove(&entry.host);
-                }
-                let same = held == Some(entry) || (entry.health == Health::Deleted && held.is_none());
-                if !same {
-                    seq += 1;
-                    batch.insert(&entry.host, changes.len());
-                    changes.push(Change { seq, entry: entry.clone() });
-                }
-            }
-            (changes, seq)
-        };
-        let answer = match log.append(&changes) {
+        let (records, seq) = records(&shared.state(), &pending, &lapsed);
+        let answer = match log.append(&records) {
             Ok(()) => {
                 let mut state = shared.state.write().unwrap_or_else(|p| p.into_inner());
-                let count = changes.len();
-                for change in changes {
-                    state.apply(change);
-                }
-                if count > 0 {
-                    shared.newest.send_replace(seq);
-                }
+                records.into_iter().for_each(|record| state.apply(record));
+                drop(state);
+                shared.newest.send_if_modified(|newest| std::mem::replace(newest, seq) != seq);
                 if log.since_snapshot >= snapshot_every {
-                    compact(&mut log, &state);
+                    // Lists are answered meanwhile: nobody else writes.
+                    compact(&mut log, &shared.state());
+                }
+                if !lapsed.is_empty() {
+                    info!(count = lapsed.len(), "entries deleted: their TTL lapsed");
                 }
                 Ok(seq)
             }
             Err(e) => {
-                warn!(error = %e, records = changes.len(), "write failed, nothing of it was answered as stored");
+                warn!(error = %e, records = records.len(), "write failed, nothing of it was answered as stored");
+                // Still due: they are tried again.
+                deadlines.extend(lapsed.into_iter().map(|host| (host, now + RETRY)));
                 Err(format!("storage: {e}"))
             }
         };
-        if !lapsed.is_empty() {
-            info!(count = lapsed.len(), "entries deleted: their TTL lapsed");
-        }
         for order in pending.drain(..) {
             // A caller that went away needs no answer.
             let _ = order.answer.send(answer.clone());
@@ -121,21 +157,35 @@
     }
 }
 
-/// The entry that a lapsed TTL leaves: the held one, marked deleted.
-fn lapsed_entry(host: &str, shared: &Shared) -> Entry {
-    let state = shared.state.read().unwrap_or_else(|p| p.into_inner());
-    let mut entry = state.get(host).cloned().unwrap_or_else(|| Entry {
-        host: host.to_string(),
-        dial: None,
-        site: String::new(),
-        class: String::new(),
-        block: 0,
-        health: Health::Deleted,
-        share: 0.0,
-        born_ms: 0.0,
+/// What is to be written for these orders and lapsed names, and the version after it.
+fn records(state: &State, pending: &[Order], lapsed: &[String]) -> (Vec<Record>, u64) {
+    let (mut seq, mut records) = (state.seq, Vec::new());
+    // What each name will hold once the records before it are in.
+    let mut held: HashMap<String, Change> = HashMap::new();
+    let of_orders =
+        pending.iter().flat_map(|o| o.entries.iter().map(move |e| (e.clone(), o.ttl.as_millis() as u64)));
+    let of_lapsed = lapsed.iter().filter_map(|host| {
+        let change = state.get(host)?;
+        Some((Entry { health: Health::Deleted, ..change.entry.clone() }, change.ttl_ms))
     });
-    entry.health = Health::Deleted;
-    entry
+    for (entry, ttl_ms) in of_orders.chain(of_lapsed) {
+        let before = held.get(&entry.host).or(state.get(&entry.host));
+        let gone = before.is_none_or(|c| c.entry.health == Health::Deleted);
+        if entry.health == Health::Deleted && gone {
+            continue;
+        }
+        if before.is_some_and(|c| c.entry == entry) {
+            if before.is_some_and(|c| c.ttl_ms != ttl_ms) {
+                records.push(Record::Renewal { host: entry.host, ttl_ms });
+            }
+            continue;
+        }
+        seq += 1;
+        let change = Change { seq, entry, ttl_ms };
+        held.insert(change.entry.host.clone(), change.clone());
+        records.push(Record::Change(change));
+    }
+    (records, seq)
 }
 
 /// Writes a snapshot; a failure leaves the log as it was, to be tried again after the next writes.
