Divide what the fleet shares by the copies that are present

Need: a tenant's quota and the least width of a subset are divided by the configured number of copies. When some are gone their part of each quota is unused, and backends that only they covered have fewer copies or none.

Change: Event::Peers tells how many copies are alive and known. A copy's part follows them: down at once, up with a time constant of 30 s, and up only beside a strict majority of all known or configured. Balancer::share shows it. Without the event nothing changes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -280,6 +280,13 @@
         /// Their number, this one included.
         processes: u32,
     },
+    /// So many of the copies are present, as this one sees it: what the fleet shares is divided by them.
+    Peers {
+        /// Alive, this copy included.
+        alive: u32,
+        /// Alive, or gone not long ago, this copy included.
+        known: u32,
+    },
     /// A timer came due.
     Wake {
         /// As given in [`Action::WakeMe`].
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -36,6 +36,7 @@
 const CROSS_PRICE: f64 = 0.25; // aims that a mean may grow to save a crossing: the slowest grow by far more
 const SPILL: [f64; 2] = [1.0, 0.4]; // proportional; integral a second: behind a queue, haste makes it swing
 const SPILL_FADE: f64 = 8000.0; // a zone that was left altogether gives no answers and is tried again
+const TAKE_OVER: f64 = 30_000.0; // in which the part of those who have gone is taken over
 const MAX_EJECTED: f64 = 0.5; // share of the list out of service beyond which the illness is nobody's own
 const BORNE: [f64; 2] = [2000.0, 60_000.0]; // in which a higher rate of answers is learned, and unlearned
 const COLD_MARGIN: f64 = 0.5; // part of the cold budget used: backends are unlike, handshakes count
@@ -145,7 +146,9 @@
     asking: bool,
     relisting: bool, // a timer for it is out
     hold: f64,
-    beside: f64, // processes that share this copy's cold budgets
+    beside: f64,  // processes that share this copy's cold budgets
+    present: f64, // copies that share what the fleet shares ...
+    fleet: f64,   // ... and by how many it is divided so far
 }
 
 impl Balancer {
@@ -176,6 +179,8 @@
             ask_backoff: 1.0,
             bears: 1.0,
             beside: 1.0,
+            present: f64::from(settings.copies),
+            fleet: f64::from(settings.copies),
             // One for all classes: in a full queue the longer hold would take every slot of its slice.
             hold: HOLD[settings.tier.min(1) as usize]
                 * settings.classes.iter().map(|c| c.aim).fold(f64::MAX, f64::min),
@@ -201,6 +206,7 @@
             Event::Whole { request, deadline } => self.on_whole(now, request, deadline),
             Event::Resolved(resolved) => self.on_resolved(now, &resolved, out),
             Event::Company { processes } => self.beside = f64::from(processes.max(1)),
+            Event::Peers { alive, known } => self.on_peers(alive, known),
             Event::Hangup { request } => self.end(now, request, out),
             Event::Wake { token: HOUSEKEEPING } => self.housekeep(now, out),
             Event::Wake { token: ASK } => {
@@ -225,6 +231,20 @@
         Census { listed: listed.clone().count(), excluded: listed.filter(avoided).count(), unlisted }
     }
 
+    /// A copy takes one part in `fleet` of what the copies share. It takes less at once when more appear, and
+    /// more only slowly, and only beside a strict majority of all that are known or configured: of the sides
+    /// of a split one can be that, so that their parts together stay under one and a half of the whole.
+    fn on_peers(&mut self, alive: u32, known: u32) {
+        let all = known.max(self.s.copies);
+        self.present = f64::from(if 2 * u64::from(alive) > u64::from(all) { alive } else { all }.max(1));
+        self.fleet = self.fleet.max(self.present);
+    }
+
+    /// The part that this copy takes of what the copies share, from 0 to 1.
+    pub fn share(&self) -> f64 {
+        1.0 / self.fleet
+    }
+
     fn period(&self) -> f64 {
         (self.s.tick * HOUSE_TICKS).max(1.0)
     }
@@ -347,7 +367,7 @@
         self.limiter.total *= part;
         self.limiter.best *= part;
         let (size, copies) = (self.ring.len() as f64, f64::from(self.s.copies));
-        let want = (self.peak / CALLS_PER_MEMBER).max(OVERLAP * size / copies).max(MIN_SUBSET);
+        let want = (self.peak / CALLS_PER_MEMBER).max(OVERLAP * size / self.fleet).max(MIN_SUBSET);
         self.width = want.max(self.width * (1.0 - NARROW_PER_S * passed / 1000.0)).min(size);
         self.subset.clear();
         // Where crossing has a price, only what is spilt or the smallest subset lacks leaves the zone.
@@ -431,7 +451,7 @@
     /// Whether the tenant's local quota is used up. Demotes only; refuses nothing by itself.
     fn over_quota(&mut self, now: f64, tenant: usize) -> bool {
         let Some(t) = self.s.tenants.get(tenant) else { return false };
-        let rate = t.quota_per_s / f64::from(self.s.copies);
+        let rate = t.quota_per_s / self.fleet;
         let (tokens, last) = self.buckets[tenant];
         let tokens = (tokens + rate * (now - last) / 1000.0).min(rate.max(2.0));
         self.buckets[tenant] = (tokens - f64::from(u8::from(tokens >= 1.0)), now);
@@ -738,6 +758,7 @@
         let gain = self.excess[0] - self.excess[1] - self.s.goal.cross_zone * CROSS_PRICE;
         self.drift = (self.drift + SPILL[1] * gain * passed / 1000.0).clamp(0.0, 1.0);
         self.spill = (self.drift + SPILL[0] * gain).clamp(0.0, 1.0);
+        self.fleet = self.present.max(self.fleet - (self.fleet - self.present) * passed / TAKE_OVER);
         self.resize(now, passed);
         self.peak = self.inflight.max(self.peak * (1.0 - passed / 5000.0));
         // Those who have waited too long for their key's turn; keys that have rested.
