Add membership among the proxies of a tier: SWIM over UDP, off unless configured

Change: src/bin/heathroad/membership/ runs foca (SWIM) over a UDP socket: framed and checksummed datagrams, one cluster a tier, generations by which a restarted process is told from its old self, seeds asked with jitter, a good-bye on SIGTERM. The operators' address answers 'members'. The module is told of the counts (Event::Peers).

Tests: tests/membership.rs with up to five proxies: kill -9 and restart, SIGSTOP past the suspicion, 20 % loss for 30 s (nobody gone, no generation lost), a one-way cut, a split with the sum of shares in bound, garbage, another cluster and a flood.

--- a/src/bin/heathroad/config.rs
+++ b/src/bin/heathroad/config.rs
@@ -1,6 +1,7 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
 use crate::discovery::Page;
+use crate::membership;
 use clap::Parser;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -28,6 +29,8 @@
     pub known: Option<Page>,
     /// The settings.
     pub facts: Facts,
+    /// How it takes part among the proxies of its tier, if it does.
+    pub membership: Option<membership::Settings>,
     /// Where all this was read, for a reload.
     pub origin: Origin,
 }
@@ -64,6 +67,7 @@
     known: Option<Page>,
     settings: serde_json::Value,
     list_guard: Option<Guard>,
+    membership: Option<membership::Settings>,
 }
 
 /// The operators' own file: a key that is not known is a slip of the pen.
@@ -78,6 +82,7 @@
     settings: serde_json::Value,
     #[serde(default)]
     list_guard: Guard,
+    membership: Option<membership::Settings>,
 }
 
 /// One address, several parted by commas, or a list of them.
@@ -158,6 +163,7 @@
             known: None,
             settings: own.settings,
             list_guard: Some(own.list_guard),
+            membership: own.membership,
         })
     }
 
@@ -219,6 +225,9 @@
     if let Some((_, what)) = wrong.iter().find(|(bad, _)| *bad) {
         return Err(format!("config: {what}"));
     }
+    if let Some(why) = file.membership.as_ref().and_then(membership::Settings::invalid) {
+        return Err(format!("config: membership.{why}"));
+    }
     let ops = ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?;
     Ok(Config {
         ops,
@@ -229,6 +238,7 @@
         memory: file.limits.memory_mb.saturating_mul(1 << 20),
         known: file.known,
         facts,
+        membership: file.membership,
         origin,
     })
 }
--- a/src/bin/heathroad/engine.rs
+++ b/src/bin/heathroad/engine.rs
@@ -242,6 +242,16 @@
         self.tell(Event::Company { processes });
     }
 
+    /// So many proxies of the tier are present, as the members tell each other.
+    pub fn peers(self: &Rc<Self>, alive: u32, known: u32) {
+        self.tell(Event::Peers { alive, known });
+    }
+
+    /// The part that this process takes of what the tier's proxies share.
+    pub fn share(&self) -> f64 {
+        self.state.borrow().balancer.share()
+    }
+
     /// Whether the whole list is wanted anew; asked once.
     pub fn wants_whole_list(&self) -> bool {
         self.relist.take()
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod front;
 mod lifecycle;
+mod membership;
 mod ops;
 mod stream;
 
@@ -22,6 +23,7 @@
 use engine::{Engine, millis};
 use front::Front;
 use lifecycle::{LINGER, Lifecycle};
+use membership::Membership;
 use ops::Ops;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -95,10 +97,27 @@
     let known = config.known.map(|page| page.entries()).unwrap_or_default();
     engine.list(ListKind::Cached, known);
     let lifecycle = Rc::new(Lifecycle::new());
+    let membership = match &config.membership {
+        None => None,
+        Some(settings) => {
+            let zones = &config.facts.site.zones;
+            let zone = zones.get(usize::from(config.facts.settings.zone)).map_or("", String::as_str);
+            let membership = Membership::bind(settings, zone, config.seed).await?;
+            let (mut count, told) = (membership.count(), engine.clone());
+            spawn_local(membership.clone().run());
+            spawn_local(async move {
+                while count.changed().await.is_ok() {
+                    let now = *count.borrow_and_update();
+                    told.peers(now.alive, now.known);
+                }
+            });
+            Some(membership)
+        }
+    };
     if let Some(address) = config.ops {
         let listener = bind("ops", address, false)?;
-        let counters = counters.clone();
-        let ops = Ops { engine: engine.clone(), counters, lifecycle: lifecycle.clone() };
+        let (counters, membership) = (counters.clone(), membership.clone());
+        let ops = Ops { engine: engine.clone(), counters, lifecycle: lifecycle.clone(), membership };
         spawn_local(Rc::new(ops).serve(listener));
     }
     // The process that this one may replace serves on, so that there is time to ask for the list first; without
@@ -164,6 +183,9 @@
     terminated.recv().await;
     eprintln!("heathroad: stopping, {} requests open", engine.owed());
     lifecycle.stop();
+    if let Some(membership) = membership {
+        membership.leave();
+    }
     engine.end_by(Instant::now() + LAST);
     // All is answered by `LAST`, but long answers flow on as long as the platform lets them; a caller that does not
     // take its answer must not keep the program.
--- a/src/bin/heathroad/ops.rs
+++ b/src/bin/heathroad/ops.rs
@@ -3,6 +3,7 @@
 use crate::counters::Counters;
 use crate::engine::Engine;
 use crate::lifecycle::{Lifecycle, Phase};
+use crate::membership::Membership;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +35,8 @@
     pub counters: Rc<Counters>,
     /// Is told to empty the proxy, or to take clients again.
     pub lifecycle: Rc<Lifecycle>,
+    /// The proxies of the tier, where they tell each other.
+    pub membership: Option<Rc<Membership>>,
 }
 
 impl Ops {
@@ -92,6 +95,14 @@
         match call {
             "health" => say(self.engine.ready() && can_serve()),
             "counters" => format!("{}\n--", self.counters.page(self.engine.census())),
+            "members" => match &self.membership {
+                Some(membership) => {
+                    let mut page = membership.page();
+                    page["share"] = self.engine.share().into();
+                    format!("{page}\n--")
+                }
+                None => "NAK no membership".to_string(),
+            },
             "quiesce" => say(self.lifecycle.quiesce()),
             "resume" => say(self.lifecycle.resume()),
             _ => "NAK unknown call".to_string(),
--- a/tests/fault_relay/mod.rs
+++ b/tests/fault_relay/mod.rs
@@ -1,10 +1,13 @@
-//! A relay for faults: a fixed address in front of a process that may be cut off, or replaced by another.
+//! Relays for faults: a fixed address in front of a process that may be cut off or replaced by another, and links
+//! between processes that may be cut one by one or lose datagrams.
+#![allow(dead_code)]
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
 /// Passes connections on to its target. It counts the calls for lists that go through.
@@ -74,3 +77,79 @@
         () = back => {}
     }
 }
+
+/// UDP between processes of which each is reached at an address of the relay's. Each way of each pair is a link of its
+/// own, which may be cut; all links may lose a part of what they carry, by a seeded chance.
+pub struct Links {
+    /// Where each process is reached.
+    pub addresses: Vec<SocketAddr>,
+    rules: Arc<Mutex<Rules>>,
+}
+
+struct Rules {
+    /// Where each process really is.
+    places: Vec<Option<SocketAddr>>,
+    cut: HashSet<(usize, usize)>,
+    loss: f64,
+    chance: fastrand::Rng,
+    passed: usize,
+}
+
+impl Links {
+    pub async fn start(processes: usize) -> Links {
+        let chance = fastrand::Rng::with_seed(7);
+        let rules =
+            Rules { places: vec![None; processes], cut: HashSet::new(), loss: 0.0, chance, passed: 0 };
+        let mut links = Links { addresses: Vec::new(), rules: Arc::new(Mutex::new(rules)) };
+        for to in 0..processes {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+            links.addresses.push(socket.local_addr().expect("bound"));
+            let rules = links.rules.clone();
+            tokio::spawn(async move {
+                let mut datagram = [0; 2048];
+                while let Ok((n, source)) = socket.recv_from(&mut datagram).await {
+                    let place = rules.lock().expect("sound").passes(source, to);
+                    if let Some(place) = place {
+                        let _ = socket.send_to(&datagram[..n], place).await;
+                    }
+                }
+            });
+        }
+        links
+    }
+
+    /// Says where a process really is.
+    pub fn place(&self, process: usize, at: SocketAddr) {
+        self.rules.lock().expect("sound").places[process] = Some(at);
+    }
+
+    /// Nothing passes from one to the other any more.
+    pub fn cut(&self, from: usize, to: usize) {
+        self.rules.lock().expect("sound").cut.insert((from, to));
+    }
+
+    /// All links pass again.
+    pub fn heal(&self) {
+        self.rules.lock().expect("sound").cut.clear();
+    }
+
+    /// Every link loses this share of its datagrams.
+    pub fn lose(&self, share: f64) {
+        self.rules.lock().expect("sound").loss = share;
+    }
+
+    /// Datagrams that have passed.
+    pub fn passed(&self) -> usize {
+        self.rules.lock().expect("sound").passed
+    }
+}
+
+impl Rules {
+    fn passes(&mut self, source: SocketAddr, to: usize) -> Option<SocketAddr> {
+        let from = self.places.iter().position(|p| *p == Some(source))?;
+        let lost = self.cut.contains(&(from, to)) || self.chance.f64() < self.loss;
+        let place = self.places[to].filter(|_| !lost)?;
+        self.passed += 1;
+        Some(place)
+    }
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -443,12 +443,17 @@
     }
 
     async fn signal(&mut self, name: &str, notice: &str) {
-        let id = self.child.id().expect("it runs").to_string();
-        let sent = soon(Command::new("kill").args([name, &id]).status()).await;
-        assert!(sent.expect("kill runs").success());
+        self.send_signal(name);
         self.notes(notice).await;
     }
 
+    /// Sends a signal by name, as `kill` does.
+    pub fn send_signal(&self, name: &str) {
+        let id = self.child.id().expect("it runs").to_string();
+        let sent = std::process::Command::new("kill").args([name, &id]).status().expect("kill runs");
+        assert!(sent.success());
+    }
+
     /// Waits until the program logs `notice`.
     pub async fn notes(&mut self, notice: &str) {
         while !soon(self.log.next_line()).await.expect("readable").expect("it goes on").contains(notice) {}
