Let members find each other by a registry that lists the proxies

Change: membership.registries names registries for the proxies alone. Each proxy registers there for 30 s, renews after 7.5 to 12.5 s by chance, asks up to 16 of those listed to be taken in, goes to the next registry when one fails, and takes itself off when it stops. Off unless configured; the list of backends is untouched.

Test: three proxies with no seeds find each other, one stops and is off the list well within its TTL, and the others stay members after a kill -9 of the registry.

--- a/src/bin/heathroad/discovery.rs
+++ b/src/bin/heathroad/discovery.rs
@@ -4,10 +4,12 @@
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use std::error::Error;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -280,7 +282,11 @@
     timeout(wait + PATIENCE, call).await.map_err(|_| Fault::Silent)?.map_err(Fault::Failed)
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, String> {
+/// A connection of its own for calls with bodies of a kind.
+pub async fn connect<B>(address: SocketAddr) -> Result<SendRequest<B>, String>
+where
+    B: Body<Data: Send, Error: Into<Box<dyn Error + Send + Sync>>> + Send + 'static,
+{
     // The call's own time bounds it.
     let stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
--- /dev/null
+++ b/src/bin/heathroad/membership/listing.rs
@@ -0,0 +1,89 @@
+//! Where members find each other without seeds: a registry that lists the tier's proxies, as it lists backends
+//! elsewhere. This process registers there, renews in time, and asks whom it finds to be taken in.
+
+use super::Membership;
+use crate::discovery::{Health, Page, connect};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode, header};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// A registration lives for so long without renewal.
+const TTL: Duration = Duration::from_secs(30);
+/// A registry that takes longer is left for the next one.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Longest list.
+const MAX_LIST: usize = 1 << 20;
+const PATH: &str = "/registry/instances";
+
+/// Registers and reads for ever, at the first registry that answers.
+pub async fn keep(membership: Rc<Membership>, registries: Vec<SocketAddr>) {
+    let (mut at, mut pauses, mut failing) = (0, super::pauses(), false);
+    loop {
+        let registry = registries[at];
+        let exchange = async {
+            register(&membership, registry, "SERVING").await?;
+            call(registry, Method::GET, Bytes::new()).await
+        };
+        let answer = timeout(PATIENCE, exchange).await.unwrap_or_else(|_| Err("no answer in time".into()));
+        let page = answer.and_then(|text| serde_json::from_slice::<Page>(&text).map_err(|e| e.to_string()));
+        let pause = match page {
+            Ok(page) => {
+                let hosts = page.entries();
+                let serving = hosts.into_iter().filter(|h| h.health == Health::Serving);
+                membership.listed(serving.filter_map(|h| h.dial).collect());
+                (pauses, failing) = (super::pauses(), false);
+                // A third of the TTL, so that two renewals may fail; by chance, so that they do not come together.
+                TTL.mul_f64(0.25 + fastrand::f64() / 6.0)
+            }
+            Err(e) => {
+                if !std::mem::replace(&mut failing, true) {
+                    eprintln!("heathroad: membership: registry {registry}: {e}");
+                }
+                at = (at + 1) % registries.len();
+                pauses.next().unwrap_or(super::SEEK[1])
+            }
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Takes this process off the list, if a registry answers.
+pub async fn leave(membership: Rc<Membership>, registries: Vec<SocketAddr>) {
+    for registry in registries {
+        if let Ok(Ok(())) = timeout(PATIENCE, register(&membership, registry, "DELETED")).await {
+            return;
+        }
+    }
+}
+
+async fn register(membership: &Membership, registry: SocketAddr, health: &str) -> Result<(), String> {
+    let entry = {
+        let swim = membership.swim.borrow();
+        let id = swim.id();
+        json!({"host": id.name, "dial": id.addr, "site": id.zone, "class": "proxy", "health": health})
+    };
+    let body = json!({"ttl_ms": TTL.as_millis() as u64, "hosts": [entry]}).to_string();
+    call(registry, Method::PUT, body.into()).await.map(drop)
+}
+
+async fn call(registry: SocketAddr, method: Method, body: Bytes) -> Result<Bytes, String> {
+    let mut sender = connect(registry).await?;
+    let request = Request::builder().method(method).uri(PATH).header(header::HOST, registry.to_string());
+    let request = request.body(Full::new(body)).map_err(|e| e.to_string())?;
+    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let status = answer.status();
+    let body =
+        Limited::new(answer.into_body(), MAX_LIST).collect().await.map_err(|e| e.to_string())?.to_bytes();
+    match status {
+        StatusCode::OK => Ok(body),
+        _ => Err(format!(
+            "answered {status}: {}",
+            String::from_utf8_lossy(&body[..body.len().min(200)]).trim()
+        )),
+    }
+}
--- a/src/bin/heathroad/membership/mod.rs
+++ b/src/bin/heathroad/membership/mod.rs
@@ -1,6 +1,7 @@
 //! Membership among the proxies of a tier: the UDP socket, the timers, and the view that the rest of the program
 //! uses. The protocol is in `swim`; what the count of members changes is the module's to decide.
 
+mod listing;
 pub mod swim;
 
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
@@ -14,7 +15,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use swim::{Count, Dropped, Id, MAX_NAME, Swim, Timing};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -25,6 +26,10 @@
 const STARVED: Duration = Duration::from_millis(10);
 /// Who is alone asks its seeds again after this, doubling; each time up to as much again is added by chance.
 const SEEK: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(5)];
+/// More registries than this are a mistake.
+const MAX_REGISTRIES: usize = 16;
+/// At most so many are asked at once.
+const MAX_ASKED: usize = 16;
 /// Who is not alone still asks one seed so often: two sides of a long split have forgotten each other.
 const REMIND: Duration = Duration::from_secs(30);
 
@@ -44,6 +49,9 @@
     /// Members to ask first.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Registries that list the tier's proxies, and nothing else.
+    #[serde(default)]
+    pub registries: Vec<SocketAddr>,
     /// The protocol's times.
     #[serde(default)]
     pub timing: Timing,
@@ -60,6 +68,9 @@
         if !(1..=MAX_NAME).contains(&name) {
             return Some(format!("name: from 1 to {MAX_NAME} bytes"));
         }
+        if self.registries.len() > MAX_REGISTRIES {
+            return Some(format!("registries: at most {MAX_REGISTRIES}"));
+        }
         self.timing.invalid().map(|what| format!("timing.{what}"))
     }
 }
@@ -81,7 +92,12 @@
 pub struct Membership {
     swim: RefCell<Swim>,
     socket: UdpSocket,
-    seeds: Vec<SocketAddr>,
+    /// From the configuration, and behind them those that a registry lists.
+    seeds: RefCell<Vec<SocketAddr>>,
+    configured: usize,
+    registries: Vec<SocketAddr>,
+    /// Who is alone looks for others again at once when there is somebody new to ask.
+    found: Notify,
     heard: RefCell<HashMap<SocketAddr, Instant>>,
     traffic: Cell<Traffic>,
     count: watch::Sender<Count>,
@@ -104,7 +120,10 @@
         Ok(Rc::new(Membership {
             swim: RefCell::new(swim),
             socket,
-            seeds: settings.seeds.clone(),
+            seeds: RefCell::new(settings.seeds.clone()),
+            configured: settings.seeds.len(),
+            registries: settings.registries.clone(),
+            found: Notify::new(),
             heard: RefCell::default(),
             traffic: Cell::default(),
             count,
@@ -120,6 +139,9 @@
     /// Takes part for ever.
     pub async fn run(self: Rc<Self>) {
         spawn_local(self.clone().seek());
+        if !self.registries.is_empty() {
+            spawn_local(listing::keep(self.clone(), self.registries.clone()));
+        }
         let mut datagram = [0; 2048];
         loop {
             if self.socket.readable().await.is_err() {
@@ -144,13 +166,31 @@
             if !alone {
                 pauses = self::pauses();
             }
-            let asked = if alone { self.seeds.len() } else { 1 };
-            let from = fastrand::usize(..self.seeds.len().max(1));
-            for seed in self.seeds.iter().cycle().skip(from).take(asked.min(self.seeds.len())) {
-                self.swim.borrow_mut().announce(*seed);
+            {
+                let seeds = self.seeds.borrow();
+                let asked = if alone { seeds.len().min(MAX_ASKED) } else { seeds.len().min(1) };
+                let from = fastrand::usize(..seeds.len().max(1));
+                for seed in seeds.iter().cycle().skip(from).take(asked) {
+                    self.swim.borrow_mut().announce(*seed);
+                }
             }
             self.carry_out();
-            sleep(pause).await;
+            tokio::select! {
+                () = sleep(pause) => {}
+                () = self.found.notified() => {}
+            }
+        }
+    }
+
+    /// A registry lists these proxies, this one maybe among them.
+    fn listed(&self, addresses: Vec<SocketAddr>) {
+        let own = self.swim.borrow().id().addr;
+        let mut seeds = self.seeds.borrow_mut();
+        let news = addresses.iter().any(|a| *a != own && !seeds.contains(a));
+        seeds.truncate(self.configured);
+        seeds.extend(addresses.into_iter().filter(|a| *a != own).take(swim::MAX_MEMBERS));
+        if news && self.count.borrow().alone() {
+            self.found.notify_one();
         }
     }
 
@@ -159,6 +199,9 @@
         if !self.left.replace(true) {
             self.swim.borrow_mut().leave();
             self.carry_out();
+            if !self.registries.is_empty() {
+                spawn_local(listing::leave(self.clone(), self.registries.clone()));
+            }
         }
     }
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,10 +1,12 @@
 //! Membership among several proxy processes, with faults on the links between them.
 
 mod fault_relay;
+mod registry_rig;
 mod rig;
 mod waits;
 
 use fault_relay::Links;
+use registry_rig::{Registry, data_dir, names};
 use rig::{Backend, Discovery, Orders, Proxy, settings};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -28,16 +30,23 @@
     proxies: Vec<Proxy>,
     places: Vec<SocketAddr>,
     timing: Value,
+    registry: Option<SocketAddr>,
 }
 
 impl Fleet {
     async fn start(size: usize, timing: Value) -> Fleet {
+        Fleet::found_by(size, timing, None).await
+    }
+
+    /// They find each other by a registry, or else by seeds.
+    async fn found_by(size: usize, timing: Value, registry: Option<SocketAddr>) -> Fleet {
         let orders = Arc::new(Orders::default());
         let backend = Backend::start("a", &orders).await;
         let discovery = Discovery::start(vec![backend.line("SERVING")]).await;
         let links = Links::start(size).await;
         let (proxies, places) = (Vec::new(), Vec::new());
-        let mut fleet = Fleet { links, discovery, orders, _backend: backend, proxies, places, timing };
+        let mut fleet =
+            Fleet { links, discovery, orders, _backend: backend, proxies, places, timing, registry };
         for n in 0..size {
             let (proxy, place) = fleet.spawn(n, "tier").await;
             fleet.proxies.push(proxy);
@@ -53,6 +62,10 @@
         config["settings"]["peersTotal"] = self.links.addresses.len().into();
         config["membership"] = json!({"bind": "127.0.0.1:0", "advertise": self.links.addresses[n].to_string(),
             "cluster": cluster, "name": format!("n{n}"), "seeds": seeds, "timing": self.timing});
+        if let Some(registry) = self.registry {
+            config["membership"]["seeds"] = json!([]);
+            config["membership"]["registries"] = json!([registry.to_string()]);
+        }
         let mut proxy = Proxy::spawn(&config, "exec \"$0\"");
         let place = proxy.says("membership on ").await;
         self.links.place(n, place);
@@ -280,3 +293,31 @@
     fleet.until_all_alive(JOINED).await;
     assert!(fleet.orders.seen.borrow().len() >= 200);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn proxies_find_each_other_by_a_registry_and_outlive_it() {
+    let registry = Registry::start(&data_dir("proxies"), &[]).await;
+    let mut fleet = Fleet::found_by(3, quick(), Some(registry.address)).await;
+    // The first finds the others by being asked; a renewal is 12.5 s off at the most.
+    fleet.until_all_alive(JOINED).await;
+    let listed = async || {
+        let mut names = names(&registry.get("").await);
+        names.sort();
+        names
+    };
+    assert_eq!(listed().await, ["n0", "n1", "n2"]);
+    fleet.proxies[2].terminate().await;
+    let off = async {
+        while listed().await != ["n0", "n1"] {
+            sleep(LOOK).await;
+        }
+    };
+    timeout(JOINED, off).await.expect("who stops takes itself off well within its TTL");
+    fleet.proxies.pop();
+    registry.kill().await;
+    fleet.until(&[0, 1], JOINED, "n2 left", |v| v.is("n2", "gone") && v.alive == 2).await;
+    for proxy in &fleet.proxies {
+        assert_eq!(proxy.call("look").await, (200, "a".into()));
+    }
+    fleet.until(&[0, 1], JOINED, "both stay", |v| v.alive == 2).await;
+}
