--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -219,3 +219,64 @@
     let request = rig::request("look").uri("/read").body(Default::default()).expect("well formed");
     assert_eq!(proxy.caller().await.send(request).await, (200, "a".into()));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_torn_log_and_bad_callers_do_not_reach_the_proxies() {
+    let data = data_dir("torn-proxies");
+    let flags = ["--header-timeout-ms", "2000"];
+    let registry = Registry::start(&data, &flags).await;
+    let relay = Relay::start(registry.address).await;
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    registry.put(TTL, vec![a.line("SERVING")]).await;
+    let mut proxies = Vec::new();
+    for _ in 0..2 {
+        let proxy = Proxy::start_as(&config(&relay.address.to_string()), "exec \"$0\"").await;
+        until_ready(&proxy).await;
+        proxies.push(proxy);
+    }
+    let whole = relay.calls().0;
+    registry.kill().await;
+    let garbage = [0x40, 0, 0, 0, 1, 2, 3, 4, b'{', b'"'];
+    let mut log = std::fs::OpenOptions::new().append(true).open(data.join("log")).expect("log");
+    std::io::Write::write_all(&mut log, &garbage).expect("written");
+    let mut registry = Registry::start(&data, &flags).await;
+    let cut = registry.logged("torn or spoilt tail cut off the log").await;
+    assert_eq!(cut["bytes"], garbage.len() as u64);
+    relay.lead_to(registry.address);
+    registry.put(TTL, vec![b.line("SERVING"), a.line("DRAINING")]).await;
+    for proxy in &proxies {
+        until_served_by(proxy, "b").await;
+    }
+    assert_eq!(relay.calls().0, whole, "what was cut had not been answered: nobody needs the whole list");
+    // Callers that send nothing, nonsense, or what cannot be stored; the list goes on changing for the others.
+    let idle = registry.descriptors();
+    let mut bad = Vec::new();
+    for n in 0..300 {
+        let mut caller = tokio::net::TcpStream::connect(registry.address).await.expect("connects");
+        let says: &[u8] = match n % 3 {
+            0 => b"",
+            1 => b"\x16\x03\x01 no HTTP at all\r\n\r\n",
+            _ => b"PUT /registry/instances HTTP/1.1\r\nhost: r\r\ncontent-length: 9\r\n\r\n{\"ttl_ms\"",
+        };
+        tokio::io::AsyncWriteExt::write_all(&mut caller, says).await.expect("written");
+        bad.push(caller);
+    }
+    registry.put(TTL, vec![a.line("SERVING"), b.line("DRAINING")]).await;
+    for proxy in &proxies {
+        until_served_by(proxy, "a").await;
+    }
+    for mut caller in bad {
+        let mut answer = Vec::new();
+        // It ends: with an answer, or without one.
+        let _ = soon(tokio::io::AsyncReadExt::read_to_end(&mut caller, &mut answer)).await;
+        let text = String::from_utf8_lossy(&answer);
+        assert!(answer.is_empty() || text.starts_with("HTTP/1.1 4"), "{text}");
+    }
+    soon(async {
+        while registry.descriptors() > idle {
+            tokio::task::yield_now().await;
+        }
+    })
+    .await;
+}
