Move the control plane's client from heathroad into the library

Need: a scale run has to hold hundreds of proxies without a data path in one process, through the very code that heathroad runs. The client was part of the program and held its Engine, and engine and routes imported each other.

Change: list, pauses, registry, discovery, membership and the wire half of routes are src/client (turnshift::client). The program implements discovery::Listener (ListedEngine) and routes::RoutedProxy (ObservedEngine). The observer is a module of its own that engine uses, so the import circle between engine and routes is gone. Calls, pauses, their order and the log's texts are as before. client::traffic counts messages and bytes by kind of call: two additions a read or write, with HTTP's heads.

--- a/benches/membership.rs
+++ b/benches/membership.rs
@@ -3,7 +3,7 @@
 //! each by 1 ms; nothing else is modelled.
 
 #[allow(dead_code)]
-#[path = "../src/bin/heathroad/membership/swim/mod.rs"]
+#[path = "../src/client/membership/swim/mod.rs"]
 mod swim;
 
 use foca::Timer;
--- a/src/bin/heathroad/config/file.rs
+++ b/src/bin/heathroad/config/file.rs
@@ -1,8 +1,9 @@
 //! What the configuration file may hold.
 
-use crate::list::Page;
-use crate::{membership, recorder, routes};
+use crate::recorder;
 use serde::Deserialize;
+use turnshift::client::list::Page;
+use turnshift::client::{membership, routes};
 
 /// The platform's file has keys that nothing here needs; they are passed over.
 #[derive(Deserialize)]
--- a/src/bin/heathroad/config/mod.rs
+++ b/src/bin/heathroad/config/mod.rs
@@ -8,15 +8,16 @@
 pub use error::Error;
 pub use origin::Origin;
 
-use crate::list::Page;
-use crate::registry::MAX_REGISTRIES;
-use crate::{membership, recorder, routes};
+use crate::recorder;
 use clap::Parser;
 use file::{Addresses, File};
 use std::env;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use turnshift::api::ListGuard;
+use turnshift::client::list::Page;
+use turnshift::client::registry::MAX_REGISTRIES;
+use turnshift::client::{membership, routes};
 use turnshift::settings::{self, Facts};
 
 /// All that a start needs.
--- a/src/bin/heathroad/counters.rs
+++ b/src/bin/heathroad/counters.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use turnshift::api::Census;
+use turnshift::client::routes::Totals;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,17 +17,6 @@
     Failed,
 }
 
-/// Requests that have ended since the start.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Totals {
-    /// All of them.
-    pub requests: u64,
-    /// Those refused.
-    pub refused: u64,
-    /// Those failed.
-    pub failed: u64,
-}
-
 /// The figures of this process, from its start on.
 pub struct Counters {
     classes: Vec<String>,
--- a/src/bin/heathroad/engine/list.rs
+++ b/src/bin/heathroad/engine/list.rs
@@ -3,11 +3,29 @@
 use super::Engine;
 use super::state::State;
 use crate::backend::Target;
-use crate::list::{Health, Host};
 use std::cell::Cell;
 use std::rc::Rc;
 use tracing::{info, warn};
 use turnshift::api::{Census, Entry, Event, ListKind, Phase};
+use turnshift::client::discovery::Listener;
+use turnshift::client::list::{Health, Host};
+
+/// The engine as discovery's client knows it.
+pub struct ListedEngine(pub Rc<Engine>);
+
+impl Listener for ListedEngine {
+    fn list(&self, kind: ListKind, version: u64, hosts: Vec<Host>) {
+        self.0.list(kind, version, hosts);
+    }
+
+    fn list_failed(&self) {
+        self.0.list_failed();
+    }
+
+    fn wants_whole_list(&self) -> bool {
+        self.0.wants_whole_list()
+    }
+}
 
 impl Engine {
     /// A list of backends, or changes to it, and the version that it leads to.
--- a/src/bin/heathroad/engine/mod.rs
+++ b/src/bin/heathroad/engine/mod.rs
@@ -11,10 +11,11 @@
 mod state;
 
 pub use clock::millis;
+pub use list::ListedEngine;
 pub use request::{Answer, Incoming};
 
 use crate::backend::Pool;
-use crate::routes::Observer;
+use crate::observer::Observer;
 use clock::Clock;
 use request::Life;
 use state::State;
--- a/src/bin/heathroad/error.rs
+++ b/src/bin/heathroad/error.rs
@@ -1,9 +1,10 @@
 //! Why the program ends.
 
-use crate::{config, membership};
+use crate::config;
 use std::io;
 use std::net::SocketAddr;
 use turnshift::api::SettingsError;
+use turnshift::client::membership;
 
 /// Why the program ends. Each is one line.
 #[derive(Debug, thiserror::Error)]
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -7,19 +7,15 @@
 mod config;
 mod counters;
 mod descriptors;
-mod discovery;
 mod engine;
 mod error;
 mod front;
 mod handover;
 mod lifecycle;
-mod list;
 mod log;
-mod membership;
+mod observer;
 mod ops;
-mod pauses;
 mod recorder;
-mod registry;
 mod routes;
 mod stream;
 
@@ -28,14 +24,13 @@
 use config::Config;
 use counters::Counters;
 use descriptors::Descriptors;
-use engine::{Engine, millis};
+use engine::{Engine, ListedEngine, millis};
 use error::Error;
 use front::Front;
 use handover::Siblings;
 use lifecycle::{FLOWS, LINGER, Lifecycle};
-use membership::Membership;
+use observer::Observer;
 use ops::Ops;
-use routes::Observer;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -48,6 +43,9 @@
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{error, info, warn};
 use turnshift::api::ListKind;
+use turnshift::client::discovery;
+use turnshift::client::membership::Membership;
+use turnshift::client::traffic::Traffic;
 
 /// A start waits so long for discovery's first list before it takes clients.
 const FIRST_LIST: Duration = Duration::from_millis(1500);
@@ -98,18 +96,19 @@
     let room = Room::new(config.memory / HELD_SHARE);
     let pool = Rc::new(Pool::new(limits, counters.attempts(), room.clone()));
     let (watching, wanted) = watch::channel(false);
-    let pace = discovery::Pace::of(&config.facts);
+    let pace = discovery::Pace::new(config.facts.settings.must_ask, millis(site.drain_grace));
     let observer = (config.routes.is_some() || config.record.is_some()).then(Observer::new);
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching, observer.clone())?;
     let known = config.known.take().map(|page| (page.seq, page.entries().0)).unwrap_or_default();
     engine.list(ListKind::Cached, known.0, known.1);
     let lifecycle = Rc::new(Lifecycle::new());
+    let traffic = Traffic::default();
     let membership = match &config.membership {
         None => None,
         Some(settings) => {
             let zones = &config.facts.site.zones;
             let zone = zones.get(usize::from(config.facts.settings.zone)).map_or("", String::as_str);
-            let membership = Membership::bind(settings, zone, config.seed).await?;
+            let membership = Membership::bind(settings, zone, config.seed, traffic.clone()).await?;
             let (mut count, told) = (membership.count(), engine.clone());
             spawn_local(membership.clone().run());
             spawn_local(async move {
@@ -127,6 +126,7 @@
         counters: &counters,
         membership: &membership,
         discovery: &discovery,
+        traffic: &traffic,
     };
     let (routes, recording) =
         observer.map_or((None, None), |observer| routes::start(&config, &observer, parts));
@@ -148,7 +148,8 @@
         }
     });
     let (listed, first) = oneshot::channel();
-    spawn_local(discovery::follow(engine.clone(), discovery, pace, wanted, listed));
+    let asked = discovery::Settings::new(pace, traffic);
+    spawn_local(discovery::follow(ListedEngine(engine.clone()), discovery, asked, wanted, listed));
     let told = async {
         if config.ops.is_some() {
             // With no list in time, the one that it had must do.
--- a/src/bin/heathroad/routes/observer.rs
+++ b/src/bin/heathroad/observer.rs
@@ -1,6 +1,5 @@
 //! What the engine tells of its backends and calls, counted where they pass: for the reports, and for the recorder.
 
-use crate::list::Host;
 use crate::recorder::Recording;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::hash_map::Entry;
@@ -8,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use turnshift::api::{Arrival, AttemptNo, BackendId, Outcome, RequestId};
+use turnshift::client::list::Host;
+use turnshift::client::routes::Tally;
 use turnshift::replay::{Ending, Listed};
 use turnshift::routes::{Revision, Weights};
 
@@ -24,15 +25,6 @@
     }
 }
 
-/// Calls of a window.
-#[derive(Default, Clone, Copy)]
-pub struct Tally {
-    /// Sent.
-    pub calls: u64,
-    /// Answered with an error, or not answered.
-    pub errors: u64,
-}
-
 /// Made only where something asks for it.
 pub struct Observer {
     places: RefCell<HashMap<BackendId, Place>>,
--- a/src/bin/heathroad/ops.rs
+++ b/src/bin/heathroad/ops.rs
@@ -3,9 +3,7 @@
 use crate::counters::Counters;
 use crate::engine::Engine;
 use crate::lifecycle::{Lifecycle, Phase};
-use crate::membership::Membership;
 use crate::recorder::Recording;
-use crate::routes::Routes;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +12,8 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
+use turnshift::client::membership::Membership;
+use turnshift::client::routes::Routes;
 
 /// Most callers at once. One more takes the place of the one that has been here longest without a whole call:
 /// those who say nothing keep nobody out.
--- a/src/bin/heathroad/recorder.rs
+++ b/src/bin/heathroad/recorder.rs
@@ -1,8 +1,6 @@
 //! Hosts the library's recorder: gives it the clock, and brings its segments to a registry. Nothing here is awaited by a
 //! request: segments are cut from time to time, encoded on a thread of their own, and the oldest go where none takes them.
 
-use crate::registry::{Fault, PAUSES, Rotation, call};
-use crate::routes::Identity;
 use hyper::Method;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -16,6 +14,9 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 use turnshift::api::{Arrival, AttemptNo, BackendId, Outcome, RequestId};
+use turnshift::client::registry::{Call, Fault, PAUSES, Rotation, call};
+use turnshift::client::routes::Identity;
+use turnshift::client::traffic::{Kind, Traffic};
 use turnshift::replay::{About, Ending, Listed, MAX_TRACES, Recorder, Reply, SAMPLED_OF, Segment};
 
 /// How often it is looked whether a segment is due.
@@ -71,11 +72,12 @@
     waiting: RefCell<VecDeque<Segment>>,
     ready: Notify,
     shipped: Cell<Shipped>,
+    traffic: Traffic,
 }
 
 impl Recording {
     /// Records from Unix time `now` on; `text` are the settings in the platform's form.
-    pub fn new(settings: &Settings, who: &Identity, text: String, now: f64) -> Rc<Self> {
+    pub fn new(settings: &Settings, who: &Identity, text: String, now: f64, traffic: Traffic) -> Rc<Self> {
         let about = About {
             name: who.name().to_string(),
             generation: who.generation(),
@@ -87,7 +89,7 @@
         };
         let recorder = RefCell::new(Recorder::new(about, now));
         let (waiting, ready, shipped) = (RefCell::default(), Notify::new(), Cell::default());
-        Rc::new(Recording { recorder, waiting, ready, shipped })
+        Rc::new(Recording { recorder, waiting, ready, shipped, traffic })
     }
 
     /// A request came.
@@ -181,8 +183,15 @@
                 continue;
             };
             loop {
-                let put = (Method::PUT, "/registry/traces", bytes.clone());
-                match call(&mut link, source.address(), put, Duration::ZERO, MAX_ANSWER).await {
+                let put = Call {
+                    kind: Kind::Trace,
+                    method: Method::PUT,
+                    path: "/registry/traces",
+                    body: bytes.clone(),
+                    wait: Duration::ZERO,
+                    max_answer: MAX_ANSWER,
+                };
+                match call(&mut link, source.address(), put, &self.traffic).await {
                     Ok(_) => {
                         if source.answered() {
                             info!("record: {} takes segments, on from {number}", source.address());
--- a/src/bin/heathroad/routes/start.rs
+++ b/src/bin/heathroad/routes/start.rs
@@ -1,15 +1,18 @@
 //! Starts what is configured of the routing and the recording.
 
-use super::{Identity, Observer, Routes};
+use super::proxy::ObservedEngine;
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::engine::Engine;
-use crate::membership::Membership;
+use crate::observer::Observer;
 use crate::recorder::Recording;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use turnshift::client::membership::Membership;
+use turnshift::client::routes::{Identity, Routes};
+use turnshift::client::traffic::Traffic;
 
 /// Connections that these may hold: a watch, a report and a segment, and the next of each.
 pub const DESCRIPTORS: usize = 6;
@@ -24,6 +27,8 @@
     pub membership: &'a Option<Rc<Membership>>,
     /// Where discovery answers now.
     pub discovery: &'a watch::Receiver<Vec<SocketAddr>>,
+    /// Counts what all this says and hears.
+    pub traffic: &'a Traffic,
 }
 
 /// Starts them.
@@ -39,7 +44,8 @@
     // Those that the file names stay: no more comes over this channel.
     let registries = named.map_or_else(|| parts.discovery.clone(), |all| watch::channel(all).1);
     let recording = config.record.as_ref().map(|settings| {
-        let recording = Recording::new(settings, &who, config.text.clone(), engine.now());
+        let recording =
+            Recording::new(settings, &who, config.text.clone(), engine.now(), parts.traffic.clone());
         observer.record(engine.now(), recording.clone());
         let clock = engine.clone();
         spawn_local(recording.clone().cut(move || clock.now()));
@@ -48,7 +54,8 @@
     });
     let routes = config.routes.as_ref().map(|settings| {
         let (engine, observer, counters) = (engine.clone(), observer.clone(), parts.counters.clone());
-        let routes = Routes::new(settings, who, engine, observer, counters);
+        let proxy = Box::new(ObservedEngine { engine, observer, counters });
+        let routes = Routes::new(settings, who, proxy, parts.traffic.clone());
         spawn_local(routes.clone().follow(registries));
         spawn_local(routes.clone().report());
         routes
--- a/src/bin/heathroad/discovery/ask.rs
+++ b/src/client/discovery/ask.rs
@@ -1,8 +1,9 @@
-//! One call for the list, and those that go out beside one that stays without an answer.
+//! One call for the list, and the further ones (hedges) while it stays without an answer.
 
 use super::source::Source;
-use crate::list::Page;
-use crate::registry::{Fault, Link, call};
+use crate::client::list::Page;
+use crate::client::registry::{Call, Fault, Link, call};
+use crate::client::traffic::{Kind, Traffic};
 use bytes::Bytes;
 use hyper::Method;
 use std::net::SocketAddr;
@@ -16,20 +17,27 @@
 const MAX_LIST: usize = 8 << 20;
 
 /// Asks for the whole list first, then watches from the version that is held; after a failure it asks without waiting.
-/// A call that is late by `beside` may never be answered, even by an agent that is back: from then on another is beside
-/// it, a new one each time, and the first whole answer counts. The first call has its full time, however slow all is.
-pub(super) async fn ask(link: &mut Option<Link>, source: &Source, beside: Duration) -> Result<Page, Fault> {
+/// A call that is late by `hedge_after` may never be answered, even by an agent that is back: from then on another is out
+/// too, a new one each time, and the first whole answer counts. The first call has its full time, however slow all is.
+pub(super) async fn ask(
+    link: &mut Option<Link>,
+    source: &Source,
+    hedge_after: Duration,
+    traffic: &Traffic,
+) -> Result<Page, Fault> {
     let (address, after) = (source.address(), source.after());
     let wait = if after.is_none() || source.failing() { Duration::ZERO } else { WAIT };
-    let first = one(link.take(), address, after, wait);
+    let first = one(link.take(), address, after, wait, traffic);
     let others = async {
-        sleep(wait + beside).await;
+        sleep(wait + hedge_after).await;
         loop {
             let begun = Instant::now();
-            if let Ok(Ok(answer)) = timeout(beside, one(None, address, after, Duration::ZERO)).await {
+            if let Ok(Ok(answer)) =
+                timeout(hedge_after, one(None, address, after, Duration::ZERO, traffic)).await
+            {
                 return answer;
             }
-            sleep_until(begun + beside).await;
+            sleep_until(begun + hedge_after).await;
         }
     };
     let (page, kept) = tokio::select! {
@@ -45,12 +53,21 @@
     address: SocketAddr,
     after: Option<u64>,
     wait: Duration,
+    traffic: &Traffic,
 ) -> Result<(Page, Option<Link>), Fault> {
     let path = match after {
         None => "/registry/instances".to_string(),
         // A wait of 0 may be read as none at all.
         Some(seq) => format!("/registry/instances?after={seq}&wait_ms={}", wait.as_millis().max(1)),
     };
-    let text = call(&mut link, address, (Method::GET, &path, Bytes::new()), wait, MAX_LIST).await?;
+    let asked = Call {
+        kind: if after.is_none() { Kind::ListWhole } else { Kind::ListWatch },
+        method: Method::GET,
+        path: &path,
+        body: Bytes::new(),
+        wait,
+        max_answer: MAX_LIST,
+    };
+    let text = call(&mut link, address, asked, traffic).await?;
     Ok((serde_json::from_slice(&text)?, link))
 }
--- a/src/bin/heathroad/discovery/source.rs
+++ b/src/client/discovery/source.rs
@@ -1,8 +1,8 @@
 //! From which version on the list is asked for, and where.
 
-use crate::list::Page;
-use crate::pauses::Bounds;
-use crate::registry::{Fault, Rotation};
+use crate::client::list::Page;
+use crate::client::pauses::Bounds;
+use crate::client::registry::{Fault, Rotation};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -66,5 +66,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../../tests/unit/heathroad/discovery/source.rs"]
+#[path = "../../../tests/unit/client/discovery/source.rs"]
 mod tests;
--- a/src/bin/heathroad/membership/listing.rs
+++ b/src/client/membership/listing.rs
@@ -3,9 +3,10 @@
 
 use super::Membership;
 use super::seek::SEEK;
-use crate::list::{Health, Page};
-use crate::pauses::Pauses;
-use crate::registry::{self, Fault};
+use crate::client::list::{Health, Page};
+use crate::client::pauses::Pauses;
+use crate::client::registry::{self, Call, Fault};
+use crate::client::traffic::Kind;
 use bytes::Bytes;
 use hyper::Method;
 use serde_json::json;
@@ -30,7 +31,7 @@
         let registry = registries[at];
         let exchange = async {
             register(&membership, registry, "SERVING").await?;
-            call(registry, Method::GET, Bytes::new()).await
+            call(&membership, registry, Method::GET, Bytes::new()).await
         };
         let answer = timeout(PATIENCE, exchange).await.unwrap_or(Err(Fault::Silent));
         let page = answer.and_then(|text| Ok(serde_json::from_slice::<Page>(&text)?));
@@ -49,7 +50,7 @@
                     warn!("membership: registry {registry}: {e}");
                 }
                 at = (at + 1) % registries.len();
-                pauses.next()
+                pauses.next_pause()
             }
         };
         sleep(pause).await;
@@ -72,10 +73,17 @@
         json!({"host": id.name, "dial": id.addr, "site": id.zone, "class": "proxy", "health": health})
     };
     let body = json!({"ttl_ms": TTL.as_millis() as u64, "hosts": [entry]}).to_string();
-    call(registry, Method::PUT, body.into()).await.map(drop)
+    call(membership, registry, Method::PUT, body.into()).await.map(drop)
 }
 
 /// On a connection of its own: the next call is seconds away.
-async fn call(registry: SocketAddr, method: Method, body: Bytes) -> Result<Bytes, Fault> {
-    registry::call(&mut None, registry, (method, PATH, body), PATIENCE, MAX_LIST).await
+async fn call(
+    membership: &Membership,
+    registry: SocketAddr,
+    method: Method,
+    body: Bytes,
+) -> Result<Bytes, Fault> {
+    let kind = Kind::Registration;
+    let asked = Call { kind, method, path: PATH, body, wait: PATIENCE, max_answer: MAX_LIST };
+    registry::call(&mut None, registry, asked, &membership.control).await
 }
--- a/src/bin/heathroad/membership/mod.rs
+++ b/src/client/membership/mod.rs
@@ -10,6 +10,7 @@
 
 pub use settings::Settings;
 
+use crate::client::traffic::{self, Kind};
 use foca::OwnedNotification;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -50,13 +51,20 @@
     found: Notify,
     heard: RefCell<HashMap<SocketAddr, Instant>>,
     traffic: Cell<Traffic>,
+    /// Counts this client's control traffic, that of other kinds too.
+    control: traffic::Traffic,
     count: watch::Sender<Count>,
     left: Cell<bool>,
 }
 
 impl Membership {
     /// Listens, and says where. Alone until `run` has found others.
-    pub async fn bind(settings: &Settings, zone: &str, seed: u64) -> Result<Rc<Self>, Error> {
+    pub async fn bind(
+        settings: &Settings,
+        zone: &str,
+        seed: u64,
+        control: traffic::Traffic,
+    ) -> Result<Rc<Self>, Error> {
         let failed = |source| Error { address: settings.bind, source };
         let socket = UdpSocket::bind(settings.bind).await.map_err(failed)?;
         let bound = socket.local_addr().map_err(failed)?;
@@ -76,6 +84,7 @@
             found: Notify::new(),
             heard: RefCell::default(),
             traffic: Cell::default(),
+            control,
             count,
             left: Cell::default(),
         }))
@@ -122,6 +131,7 @@
         let mut traffic = self.traffic.get();
         traffic.received += 1;
         traffic.received_bytes += datagram.len() as u64;
+        self.control.received(Kind::Datagram, 1, datagram.len() as u64);
         match self.swim.borrow_mut().receive(datagram) {
             Ok(from) => drop(self.heard.borrow_mut().insert(from.addr, Instant::now())),
             Err(Dropped::Garbage) => traffic.garbage += 1,
@@ -139,7 +149,8 @@
             // One that cannot be sent now is lost, as any may be.
             match self.socket.try_send_to(&datagram, to) {
                 Ok(n) => {
-                    (traffic.sent, traffic.sent_bytes) = (traffic.sent + 1, traffic.sent_bytes + n as u64)
+                    (traffic.sent, traffic.sent_bytes) = (traffic.sent + 1, traffic.sent_bytes + n as u64);
+                    self.control.sent(Kind::Datagram, 1, n as u64);
                 }
                 Err(_) => traffic.unsent += 1,
             }
--- a/src/bin/heathroad/membership/seek.rs
+++ b/src/client/membership/seek.rs
@@ -1,7 +1,7 @@
 //! Looks for others: seeds, and those that a registry lists.
 
 use super::{Membership, swim};
-use crate::pauses::{Bounds, Pauses};
+use crate::client::pauses::{Bounds, Pauses};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
         let mut pauses = Pauses::new(SEEK);
         while !self.left.get() {
             let alone = self.count.borrow().alone();
-            let pause = if alone { pauses.next() } else { REMIND };
+            let pause = if alone { pauses.next_pause() } else { REMIND };
             if !alone {
                 pauses.reset();
             }
--- a/src/bin/heathroad/membership/settings.rs
+++ b/src/client/membership/settings.rs
@@ -1,7 +1,7 @@
 //! Where membership runs, and with whom.
 
 use super::swim::{MAX_NAME, Timing};
-use crate::registry::MAX_REGISTRIES;
+use crate::client::registry::MAX_REGISTRIES;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
--- a/src/bin/heathroad/membership/witness.rs
+++ b/src/client/membership/witness.rs
@@ -2,7 +2,7 @@
 
 use super::Membership;
 use super::swim::Standing;
-use turnshift::routes::Witness;
+use crate::routes::Witness;
 
 impl Membership {
     /// This process's generation: its start, or later if it was held for dead meanwhile.
--- a/src/bin/heathroad/pauses.rs
+++ b/src/client/pauses.rs
@@ -22,7 +22,7 @@
     }
 
     /// The next one.
-    pub fn next(&mut self) -> Duration {
+    pub fn next_pause(&mut self) -> Duration {
         self.left.next().unwrap_or(self.bounds[1])
     }
 
@@ -33,5 +33,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/heathroad/pauses.rs"]
+#[path = "../../tests/unit/client/pauses.rs"]
 mod tests;
--- a/src/bin/heathroad/registry/mod.rs
+++ b/src/client/registry/mod.rs
@@ -4,7 +4,7 @@
 mod fault;
 mod rotation;
 
-pub use call::{Link, call};
+pub use call::{Call, Link, call};
 pub use fault::Fault;
 pub use rotation::{PAUSES, Rotation};
 
--- a/src/bin/heathroad/registry/rotation.rs
+++ b/src/client/registry/rotation.rs
@@ -1,7 +1,7 @@
 //! Which of several registries is asked, and when it is left for the next one.
 
 use super::Fault;
-use crate::pauses::{Bounds, Pauses};
+use crate::client::pauses::{Bounds, Pauses};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -62,10 +62,10 @@
             (self.failing_since, self.said) = (Some(now), None);
             warn!("{}: moves to {}", self.what, self.address());
         }
-        self.pauses.next()
+        self.pauses.next_pause()
     }
 }
 
 #[cfg(test)]
-#[path = "../../../../tests/unit/heathroad/registry/rotation.rs"]
+#[path = "../../../tests/unit/client/registry/rotation.rs"]
 mod tests;
--- a/src/bin/heathroad/routes/report.rs
+++ b/src/client/routes/report.rs
@@ -1,8 +1,9 @@
 //! What this process reports of itself.
 
-use super::Routes;
-use crate::counters::Totals;
-use crate::registry::call;
+use super::{Routes, Totals};
+use crate::client::registry::{Call, call};
+use crate::client::traffic::Kind;
+use crate::routes::{LeftOut, MAX_REPORTED, MAX_WITNESSED, Report};
 use hyper::Method;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -10,7 +11,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
-use turnshift::routes::{LeftOut, MAX_REPORTED, MAX_WITNESSED, Report};
 
 /// How often in each window it is looked which backends get less.
 const LOOKS: u32 = 4;
@@ -58,8 +58,15 @@
             let report = self.next_report();
             let Some(registry) = self.registry.get() else { continue };
             let body = serde_json::to_vec(&report).unwrap_or_default();
-            let put = (Method::PUT, "/registry/reports", body.into());
-            let sent = call(&mut link, registry, put, Duration::ZERO, MAX_ANSWER).await;
+            let put = Call {
+                kind: Kind::Report,
+                method: Method::PUT,
+                path: "/registry/reports",
+                body: body.into(),
+                wait: Duration::ZERO,
+                max_answer: MAX_ANSWER,
+            };
+            let sent = call(&mut link, registry, put, &self.traffic).await;
             let mut reports = self.reports.borrow_mut();
             match sent {
                 Ok(_) => {
@@ -79,34 +86,22 @@
         }
     }
 
-    /// Which backends get less now, and why.
-    pub(super) fn left_out(&self) -> BTreeMap<String, LeftOut> {
-        let names = self.observer.names();
-        let standings = self.engine.standings().into_iter();
-        standings.filter_map(|(id, why)| Some((names.get(&id)?.clone(), why?))).collect()
-    }
-
-    /// Digest of the weights in force. That of the table is given only if each weight is the table's.
-    pub(super) fn digest(&self) -> String {
-        self.observer.digest(&self.engine.in_force())
-    }
-
     fn look(&self) {
-        let now = self.left_out();
+        let now = self.proxy.left_out();
         self.reports.borrow_mut().left_out.extend(now);
     }
 
     /// A window begins here.
     pub(super) fn cut_window(&self) {
-        self.observer.drain();
+        self.proxy.drain_calls();
         let reports = &mut *self.reports.borrow_mut();
         reports.left_out.clear();
-        (reports.begun, reports.before) = (Instant::now(), self.counters.totals());
+        (reports.begun, reports.before) = (Instant::now(), self.proxy.totals());
     }
 
     fn next_report(&self) -> Report {
-        let digest = self.digest();
-        let (tallies, members) = (self.observer.drain(), &self.who.membership);
+        let digest = self.proxy.digest();
+        let (tallies, members) = (self.proxy.drain_calls(), &self.who.membership);
         let (alive, held) = (members.as_ref().map_or(0, |m| m.alive()), self.held.borrow());
         let reports = &mut *self.reports.borrow_mut();
         reports.number += 1;
@@ -129,7 +124,7 @@
         let witnesses =
             members.as_ref().map_or_else(Vec::new, |m| m.witnesses(reports.witness, MAX_WITNESSED));
         reports.witness = reports.witness.wrapping_add(MAX_WITNESSED);
-        let now = self.counters.totals();
+        let now = self.proxy.totals();
         let before = std::mem::replace(&mut reports.before, now);
         let begun = std::mem::replace(&mut reports.begun, Instant::now());
         Report {
@@ -137,7 +132,7 @@
             generation: self.who.generation(),
             number: reports.number,
             zone: self.who.zone.clone(),
-            list_version: self.observer.list_version(),
+            list_version: self.proxy.list_version(),
             revision: held.revision,
             digest,
             window_ms: begun.elapsed().as_millis() as u64,
--- a/src/bin/heathroad/routes/settings.rs
+++ b/src/client/routes/settings.rs
@@ -1,6 +1,6 @@
 //! What operators configure of the routing.
 
-use crate::registry::MAX_REGISTRIES;
+use crate::client::registry::MAX_REGISTRIES;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
--- a/src/bin/heathroad/routes/table.rs
+++ b/src/client/routes/table.rs
@@ -1,8 +1,8 @@
 //! The table as it comes from a registry, and what is wrong with one that is not taken.
 
+use crate::routes::{MAX_WEIGHTS, Revision, Weights};
 use serde::Deserialize;
 use std::time::{SystemTime, UNIX_EPOCH};
-use turnshift::routes::{MAX_WEIGHTS, Revision, Weights};
 
 /// A registry's answer: the table that this process should have.
 #[derive(Deserialize, Clone, Debug)]
@@ -98,5 +98,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../../tests/unit/heathroad/routes/table.rs"]
+#[path = "../../../tests/unit/client/routes/table.rs"]
 mod tests;
--- a/src/bin/heathroad/routes/watch.rs
+++ b/src/client/routes/watch.rs
@@ -2,7 +2,8 @@
 
 use super::Routes;
 use super::table::Page;
-use crate::registry::{Fault, Link, PAUSES, Rotation, call};
+use crate::client::registry::{Call, Fault, Link, PAUSES, Rotation, call};
+use crate::client::traffic::Kind;
 use bytes::Bytes;
 use hyper::Method;
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 /// How long a watch waits for another table: what a fleet asks of a registry grows as this gets shorter.
 const WAIT: Duration = Duration::from_secs(5);
 /// Pause after an answer without news that came at once.
-const LULL: Duration = Duration::from_millis(500);
+const PAUSE_WITHOUT_NEWS: Duration = Duration::from_millis(500);
 /// Longest table.
 const MAX_TABLE: usize = 1 << 20;
 
@@ -47,8 +48,8 @@
                         );
                     }
                     self.held.borrow_mut().error = None;
-                    if !news && asked.elapsed() < LULL {
-                        sleep(LULL).await;
+                    if !news && asked.elapsed() < PAUSE_WITHOUT_NEWS {
+                        sleep(PAUSE_WITHOUT_NEWS).await;
                     }
                 }
                 Err(fault) => {
@@ -68,7 +69,15 @@
         if let Some(after) = after {
             path += &format!("&after={after}&wait_ms={}", WAIT.as_millis());
         }
-        let text = call(link, registry, (Method::GET, &path, Bytes::new()), wait, MAX_TABLE).await?;
+        let asked = Call {
+            kind: Kind::RouteWatch,
+            method: Method::GET,
+            path: &path,
+            body: Bytes::new(),
+            wait,
+            max_answer: MAX_TABLE,
+        };
+        let text = call(link, registry, asked, &self.traffic).await?;
         serde_json::from_slice(&text).map_err(Fault::NoTable)
     }
 
@@ -85,7 +94,7 @@
                 );
                 held.take(&page);
                 drop(held);
-                self.engine.weigh(page.revision, page.weights);
+                self.proxy.put_in_force(page.revision, page.weights);
                 // What was counted until now was sent by other weights.
                 self.cut_window();
                 self.first.notify_one();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,12 +68,16 @@
 //! - One [`api::Event::Whole`] for a request that came with `coming` set, unless it ends before its last byte.
 //! - `closed` set once the request is over: the first served answer goes to the client by itself and ends it.
 //!
+//! The one part with I/O is [`client`], the control plane's client that a proxy may run beside its copy; no decision
+//! depends on it.
+//!
 //! Events about requests, attempts or backends that the copy does not know, or that are over, are passed over.
 
 #![forbid(unsafe_code)]
 
 pub mod api;
 mod balancer;
+pub mod client;
 pub mod replay;
 pub mod routes;
 pub mod settings;
--- a/tests/unit/heathroad/discovery/source.rs
+++ b/tests/unit/client/discovery/source.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `src/bin/heathroad/discovery/source.rs`, which names this file.
+//! Unit tests of `src/client/discovery/source.rs`, which names this file.
 
 use super::*;
 
--- a/tests/unit/heathroad/registry/rotation.rs
+++ b/tests/unit/client/registry/rotation.rs
@@ -1,4 +1,4 @@
-//! Unit tests of `src/bin/heathroad/registry/rotation.rs`, which names this file.
+//! Unit tests of `src/client/registry/rotation.rs`, which names this file.
 
 use super::*;
 
