Let a proxy name its service, and ask for that service's list alone

Need: at 4,100 backends in 230 services every proxy hears of every backend. Registries are to tell services apart (`?service=NAME`); the proxy has to say which one is its own.

Change: the key `service` and the flag `--service` (1 to 63 of a-z0-9.-; else a start error of one line). With it the list and its watch carry service=NAME behind what they carried before; without it the paths are byte for byte as they were. Route table, reports, traces and registrations stay as they are for now. A service that nobody is registered for is told of once, until it has had backends again, and asked for on.

Tests: unit (names, paths, told once), tests/discovery/service.rs on real proxies against a scripted registry, which now notes the paths it is asked for (tests/rig/discovery.rs; nothing else of it changed).

--- /dev/null
+++ b/src/bin/heathroad/config/discovery.rs
@@ -0,0 +1,14 @@
+//! How the configuration has discovery asked.
+
+use super::Config;
+use crate::engine::millis;
+use turnshift::client::discovery::{Pace, Settings};
+use turnshift::client::traffic::Traffic;
+
+impl Config {
+    /// How discovery is asked; what is said and heard is counted in `traffic`.
+    pub fn discovery_settings(&self, traffic: Traffic) -> Settings {
+        let pace = Pace::new(self.facts.settings.must_ask, millis(self.facts.site.drain_grace));
+        Settings { service: self.service.clone(), ..Settings::new(pace, traffic) }
+    }
+}
--- a/src/bin/heathroad/config/error.rs
+++ b/src/bin/heathroad/config/error.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::path::PathBuf;
+use turnshift::client::service::InvalidServiceName;
 use turnshift::settings;
 
 /// Why a configuration cannot be used. Each is one line.
@@ -50,6 +51,14 @@
     /// The seed is no number.
     #[error("config: seed: {0}; give up to 16 hexadecimal digits")]
     Seed(#[from] std::num::ParseIntError),
+    /// The service has no name that registries know.
+    #[error("config: service: {text:?}: {source}; mend it in the file or at --service")]
+    Service {
+        /// What was given.
+        text: String,
+        /// What is wrong with it.
+        source: InvalidServiceName,
+    },
     /// There are too many registries.
     #[error("config: discovery: at most {0} addresses; leave some out")]
     ManyRegistries(usize),
--- a/src/bin/heathroad/config/file.rs
+++ b/src/bin/heathroad/config/file.rs
@@ -10,6 +10,7 @@
 pub(super) struct File {
     pub(super) listen: Option<String>,
     pub(super) discovery: Option<Addresses>,
+    pub(super) service: Option<String>,
     pub(super) ops: Option<String>,
     pub(super) seed: String,
     pub(super) limits: Limits,
@@ -27,6 +28,7 @@
 pub(super) struct OwnFile {
     pub(super) listen: Option<String>,
     pub(super) discovery: Option<Addresses>,
+    pub(super) service: Option<String>,
     pub(super) ops: Option<String>,
     pub(super) seed: Option<String>,
     pub(super) limits: Limits,
--- a/src/bin/heathroad/config/mod.rs
+++ b/src/bin/heathroad/config/mod.rs
@@ -1,6 +1,7 @@
 //! What the proxy is told at its start: the environment and the configuration file, checked.
 
 mod check;
+mod discovery;
 mod error;
 mod file;
 mod origin;
@@ -17,6 +18,7 @@
 use turnshift::api::ListGuard;
 use turnshift::client::list::Page;
 use turnshift::client::registry::MAX_REGISTRIES;
+use turnshift::client::service::ServiceName;
 use turnshift::client::{membership, routes};
 use turnshift::settings::{self, Facts};
 
@@ -26,6 +28,8 @@
     pub listen: SocketAddr,
     /// Where discovery, or its agent, answers; the preferred one first.
     pub discovery: Vec<SocketAddr>,
+    /// The service whose backends it calls, where registries tell services apart.
+    pub service: Option<ServiceName>,
     /// Where operators call, if anywhere.
     pub ops: Option<SocketAddr>,
     /// Seed of the module's random numbers.
@@ -68,6 +72,9 @@
     /// Addresses of discovery, the preferred one first, parted by commas.
     #[arg(long)]
     discovery: Option<String>,
+    /// The service whose backends are called: 1 to 63 of a-z, 0-9, '.' and '-'.
+    #[arg(long)]
+    service: Option<String>,
     /// Address that operators call.
     #[arg(long)]
     ops: Option<String>,
@@ -78,7 +85,8 @@
     let args = Args::parse();
     let told = |flag: Option<String>, name| flag.or_else(|| env::var(name).ok());
     let origin = Origin::find(&args)?;
-    let file = origin.read()?;
+    let mut file = origin.read()?;
+    file.service = args.service.or(file.service);
     let discovery = told(args.discovery, "RELAY_DISCOVERY").map(Addresses::One);
     checked(file, origin, told(args.listen, "RELAY_LISTEN"), discovery, told(args.ops, "RELAY_OPS"))
 }
@@ -118,10 +126,12 @@
         }
         false => String::new(),
     };
+    let service = file.service.map(service).transpose()?;
     let ops = ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?;
     Ok(Config {
         ops,
         listen,
+        service,
         discovery: addresses(discovery.or(file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16)?,
         sockets: file.limits.sockets,
@@ -155,3 +165,7 @@
     let text = text.ok_or(Error::Missing(key))?;
     text.parse().map_err(|source| Error::Address { key, text, source })
 }
+
+fn service(text: String) -> Result<ServiceName, Error> {
+    text.parse().map_err(|source| Error::Service { text, source })
+}
--- a/src/bin/heathroad/config/origin.rs
+++ b/src/bin/heathroad/config/origin.rs
@@ -47,6 +47,7 @@
         Ok(File {
             listen: own.listen,
             discovery: own.discovery,
+            service: own.service,
             ops: own.ops,
             seed: own.seed.unwrap_or_else(|| format!("{:x}", fastrand::u64(..))),
             limits: own.limits,
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -96,7 +96,6 @@
     let room = Room::new(config.memory / HELD_SHARE);
     let pool = Rc::new(Pool::new(limits, counters.attempts(), room.clone()));
     let (watching, wanted) = watch::channel(false);
-    let pace = discovery::Pace::new(config.facts.settings.must_ask, millis(site.drain_grace));
     let observer = (config.routes.is_some() || config.record.is_some()).then(Observer::new);
     let engine = Engine::new(config.facts.clone(), config.seed, pool.clone(), watching, observer.clone())?;
     let known = config.known.take().map(|page| (page.seq, page.entries().0)).unwrap_or_default();
@@ -148,7 +147,7 @@
         }
     });
     let (listed, first) = oneshot::channel();
-    let asked = discovery::Settings::new(pace, traffic);
+    let asked = config.discovery_settings(traffic);
     spawn_local(discovery::follow(ListedEngine(engine.clone()), discovery, asked, wanted, listed));
     let told = async {
         if config.ops.is_some() {
--- a/src/client/discovery/ask.rs
+++ b/src/client/discovery/ask.rs
@@ -1,9 +1,11 @@
 //! One call for the list, and the further ones (hedges) while it stays without an answer.
 
+use super::Settings;
 use super::source::Source;
 use crate::client::list::Page;
 use crate::client::registry::{Call, Fault, Link, call};
-use crate::client::traffic::{Kind, Traffic};
+use crate::client::service::ServiceName;
+use crate::client::traffic::Kind;
 use bytes::Bytes;
 use hyper::Method;
 use std::net::SocketAddr;
@@ -13,6 +15,7 @@
 /// How long a watch waits for a change. A watch may fall silent, which shows only by its wait; news counts as
 /// told 6 s on at the latest, so that even three silent watches in a row must be noticed well before that.
 const WAIT: Duration = Duration::from_secs(1);
+const PATH: &str = "/registry/instances";
 /// Longest list.
 const MAX_LIST: usize = 8 << 20;
 
@@ -22,18 +25,17 @@
 pub(super) async fn ask(
     link: &mut Option<Link>,
     source: &Source,
-    hedge_after: Duration,
-    traffic: &Traffic,
+    settings: &Settings,
 ) -> Result<Page, Fault> {
-    let (address, after) = (source.address(), source.after());
+    let (address, after, hedge_after) = (source.address(), source.after(), settings.pace.hedge_after);
     let wait = if after.is_none() || source.failing() { Duration::ZERO } else { WAIT };
-    let first = one(link.take(), address, after, wait, traffic);
+    let first = one(link.take(), address, after, wait, settings);
     let others = async {
         sleep(wait + hedge_after).await;
         loop {
             let begun = Instant::now();
             if let Ok(Ok(answer)) =
-                timeout(hedge_after, one(None, address, after, Duration::ZERO, traffic)).await
+                timeout(hedge_after, one(None, address, after, Duration::ZERO, settings)).await
             {
                 return answer;
             }
@@ -53,13 +55,9 @@
     address: SocketAddr,
     after: Option<u64>,
     wait: Duration,
-    traffic: &Traffic,
+    settings: &Settings,
 ) -> Result<(Page, Option<Link>), Fault> {
-    let path = match after {
-        None => "/registry/instances".to_string(),
-        // A wait of 0 may be read as none at all.
-        Some(seq) => format!("/registry/instances?after={seq}&wait_ms={}", wait.as_millis().max(1)),
-    };
+    let path = path(after, wait, settings.service.as_ref());
     let asked = Call {
         kind: if after.is_none() { Kind::ListWhole } else { Kind::ListWatch },
         method: Method::GET,
@@ -68,6 +66,26 @@
         wait,
         max_answer: MAX_LIST,
     };
-    let text = call(&mut link, address, asked, traffic).await?;
+    let text = call(&mut link, address, asked, &settings.traffic).await?;
     Ok((serde_json::from_slice(&text)?, link))
 }
+
+/// Where the list is asked for, or its changes after a version. Without a service it is as it was before there were any.
+fn path(after: Option<u64>, wait: Duration, service: Option<&ServiceName>) -> String {
+    let mut query = Vec::new();
+    if let Some(seq) = after {
+        // A wait of 0 may be read as none at all.
+        query.push(format!("after={seq}&wait_ms={}", wait.as_millis().max(1)));
+    }
+    if let Some(service) = service {
+        query.push(format!("service={service}"));
+    }
+    match query.is_empty() {
+        true => PATH.to_string(),
+        false => format!("{PATH}?{}", query.join("&")),
+    }
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/client/discovery/ask.rs"]
+mod tests;
--- a/src/client/discovery/mod.rs
+++ b/src/client/discovery/mod.rs
@@ -1,5 +1,6 @@
 //! Discovery: the list of backends, and the watch on its changes.
 
+mod absent;
 mod ask;
 mod listener;
 mod pace;
@@ -10,7 +11,9 @@
 
 use crate::api::ListKind;
 use crate::client::registry::Fault;
+use crate::client::service::ServiceName;
 use crate::client::traffic::Traffic;
+use absent::AbsentService;
 use ask::ask;
 use source::Source;
 use std::net::SocketAddr;
@@ -26,14 +29,16 @@
 pub struct Settings {
     /// How often it is asked.
     pub pace: Pace,
+    /// The service whose list is asked for; without one that of the service of no name.
+    pub service: Option<ServiceName>,
     /// Counts what is said and heard.
     pub traffic: Traffic,
 }
 
 impl Settings {
-    /// At this pace; more may be set before it is followed.
+    /// At this pace, for the service of no name; more may be set before it is followed.
     pub fn new(pace: Pace, traffic: Traffic) -> Self {
-        Settings { pace, traffic }
+        Settings { pace, service: None, traffic }
     }
 }
 
@@ -65,7 +70,8 @@
     mut wanted: watch::Receiver<bool>,
     listed: &mut Option<oneshot::Sender<()>>,
 ) {
-    let Settings { pace, traffic } = settings;
+    let pace = settings.pace;
+    let mut absent = AbsentService::default();
     let (mut source, mut link) = (Source::new(addresses, pace.pauses), None);
     loop {
         if pace.must_ask && !*wanted.borrow_and_update() {
@@ -78,9 +84,12 @@
             source.held = None;
         }
         let (asked, after) = (Instant::now(), source.after());
-        let answer = ask(&mut link, &source, pace.hedge_after, traffic).await;
+        let answer = ask(&mut link, &source, settings).await;
         match answer.and_then(|page| source.accept(&page).map(|()| page)) {
             Ok(page) => {
+                if let (Some(service), true) = (&settings.service, page.whole) {
+                    absent.heard(service, page.hosts.is_empty());
+                }
                 let news = page.whole || !page.hosts.is_empty();
                 let (kind, seq) = (if page.whole { ListKind::Full } else { ListKind::Delta }, page.seq);
                 let (hosts, unread) = page.entries();
--- a/tests/discovery/main.rs
+++ b/tests/discovery/main.rs
@@ -8,6 +8,7 @@
 mod replaced;
 #[path = "../rig/mod.rs"]
 mod rig;
+mod service;
 mod sources;
 #[path = "../waits/mod.rs"]
 mod waits;
--- a/tests/rig/discovery.rs
+++ b/tests/rig/discovery.rs
@@ -12,8 +12,8 @@
 use serde_json::{Value, json};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -26,6 +26,8 @@
     silenced: Arc<AtomicUsize>,
     /// So many of the next answers break off.
     cut: Arc<AtomicUsize>,
+    /// The paths of all calls, with their queries.
+    asked: Arc<Mutex<Vec<String>>>,
 }
 
 impl Discovery {
@@ -36,14 +38,17 @@
         let held = Arc::new(watch::Sender::new(0));
         let (silenced, cut) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
         let (lists, holds, silence, cuts) = (list.clone(), held.clone(), silenced.clone(), cut.clone());
+        let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+        let paths = asked.clone();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("a connection");
                 let (lists, holds, silence) = (lists.clone(), holds.clone(), silence.clone());
-                let cuts = cuts.clone();
+                let (cuts, paths) = (cuts.clone(), paths.clone());
                 let service = service_fn(move |request: Request<Incoming>| {
                     let (mut list, holds, silence) = (lists.subscribe(), holds.clone(), silence.clone());
                     let (before, cuts) = (silence.load(SeqCst), cuts.clone());
+                    paths.lock().expect("sound").push(request.uri().to_string());
                     async move {
                         let after = request.uri().query().and_then(|q| q.strip_prefix("after="));
                         let after = after.and_then(|q| q.split('&').next()?.parse::<u64>().ok());
@@ -66,7 +71,7 @@
                 tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
             }
         });
-        Discovery { addr, list, held, silenced, cut }
+        Discovery { addr, list, held, silenced, cut, asked }
     }
 
     /// The configuration of a proxy that asks here.
@@ -82,6 +87,11 @@
         soon(self.held.subscribe().wait_for(|held| *held >= now)).await.expect("open");
     }
 
+    /// The paths of all calls so far, with their queries.
+    pub fn asked(&self) -> Vec<String> {
+        self.asked.lock().expect("sound").clone()
+    }
+
     /// The watches that wait now get no answer any more.
     pub fn silence(&self) {
         self.silenced.fetch_add(1, SeqCst);
