--- a/src/bin/heathroad/config/file.rs
+++ b/src/bin/heathroad/config/file.rs
@@ -1,14 +1,16 @@
 //! What the configuration file may hold.
 
-use crate::list::Page;
-use crate::{membership, recorder, routes};
+use crate::recorder;
 use serde::Deserialize;
+use turnshift::client::list::Page;
+use turnshift::client::{membership, routes};
 
 /// The platform's file has keys that nothing here needs; they are passed over.
 #[derive(Deserialize)]
 pub(super) struct File {
     pub(super) listen: Option<String>,
     pub(super) discovery: Option<Addresses>,
+    pub(super) service: Option<String>,
     pub(super) ops: Option<String>,
     pub(super) seed: String,
     pub(super) limits: Limits,
@@ -26,6 +28,7 @@
 pub(super) struct OwnFile {
     pub(super) listen: Option<String>,
     pub(super) discovery: Option<Addresses>,
+    pub(super) service: Option<String>,
     pub(super) ops: Option<String>,
     pub(super) seed: Option<String>,
     pub(super) limits: Limits,
