Give each service of the registry its own list, versions, watches and TTLs

Need: every proxy heard of every backend, since the registry knew no services.

Change: GET and PUT of /registry/instances take `service` (1 to 63 of a-z, 0-9, '.' and '-'). Without it they are about the service of no name, as before. The lists are now a sans-I/O core in the library (`src/catalog`): one sequence of versions, and for each service its entries, order, horizon and lists made into bytes, within bounds over all services. A service goes with its last tombstone; a version from before that gets the whole list. A watch waits on its service alone, and nothing of a service that nobody has is kept beyond the wait. Deadlines are per (service, host).

Torn and spoilt frames are cut as before, and so are zeros after the last record, which are a frame with nothing in it.

The import circle of `http/answer` and `http/routes` is gone (`http/written` has the answers of the writer, and `http/context` what calls are served from).

The other paths refuse a `service` for now: they are not per service yet.

--- a/src/bin/registry/error.rs
+++ b/src/bin/registry/error.rs
@@ -1,5 +1,6 @@
 //! Why the registry does not start, with what to do.
 
+use crate::store::OpenError;
 use std::io;
 use std::path::PathBuf;
 use thiserror::Error;
@@ -24,15 +25,12 @@
         error: toml::de::Error,
     },
     /// The data directory can't be used.
-    #[error(
-        "data: {}: {error}; give a directory that can be written, or put back a copy of its snapshot and log",
-        path.display()
-    )]
+    #[error("data: {}: {error}", path.display())]
     Data {
         /// Which directory.
         path: PathBuf,
-        /// Why.
-        error: io::Error,
+        /// Why, and what to do.
+        error: OpenError,
     },
     /// The address can't be served on.
     #[error("listen: {address}: {error}; give a free address of this machine")]
--- a/src/bin/registry/http/answer.rs
+++ b/src/bin/registry/http/answer.rs
@@ -1,15 +1,12 @@
 //! Answers, and bodies of calls.
 
-use super::{Door, routes};
-use crate::lease::Refused;
-use crate::writer::{Done, Failed, Order, Orders, Want};
+use super::context::Context;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode, header};
 use serde::de::DeserializeOwned;
-use serde_json::json;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 /// What a call gets.
@@ -38,7 +35,7 @@
     request: Request<Incoming>,
     held: &Semaphore,
     most: usize,
-    door: &Door,
+    context: &Context,
 ) -> Result<Bytes, Answer> {
     // Bodies in work hold so much memory together; one of unknown length counts as the longest.
     let length = request.body().size_hint().exact().unwrap_or(most as u64).min(most as u64);
@@ -49,7 +46,7 @@
         ));
     };
     let body = Limited::new(request.into_body(), most).collect();
-    let Ok(body) = timeout(door.limits.header_timeout, body).await else {
+    let Ok(body) = timeout(context.limits.header_timeout, body).await else {
         return Err(refuse(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"));
     };
     match body {
@@ -62,40 +59,7 @@
 }
 
 /// The body of a write as JSON, or the refusal that it gets.
-pub async fn body<T: DeserializeOwned>(request: Request<Incoming>, door: &Door) -> Result<T, Answer> {
-    let body = bytes(request, &door.bodies, door.limits.max_body, door).await?;
+pub async fn body<T: DeserializeOwned>(request: Request<Incoming>, context: &Context) -> Result<T, Answer> {
+    let body = bytes(request, &context.bodies, context.limits.max_body, context).await?;
     serde_json::from_slice(&body).map_err(|e| refuse(StatusCode::BAD_REQUEST, e))
 }
-
-/// Hands a want to the writer and waits until it is on disk.
-pub async fn ordered(want: Want, orders: &Orders) -> Answer {
-    let (told, answered) = oneshot::channel();
-    if orders.send(Order { want, answer: told }).is_err() {
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, "the writer has stopped");
-    }
-    let json = |status, value: serde_json::Value| answer(status, value.to_string());
-    match answered.await {
-        Ok(Ok(Done::Stored(seq))) => answer(StatusCode::OK, format!("{{\"seq\":{seq}}}")),
-        Ok(Ok(Done::Lease(lease))) => json(StatusCode::OK, json!(lease)),
-        Ok(Err(Failed::Lease(Refused::Held(lease, left_ms)))) => {
-            json(StatusCode::CONFLICT, json!({"held": lease, "left_ms": left_ms}))
-        }
-        Ok(Err(Failed::Lease(Refused::NotHeld))) => {
-            refuse(StatusCode::CONFLICT, "not held, or no longer, by this holder with this token")
-        }
-        Ok(Err(Failed::Lease(Refused::TooMany))) => {
-            refuse(StatusCode::SERVICE_UNAVAILABLE, "too many duties are held")
-        }
-        Ok(Err(Failed::Fenced)) => {
-            refuse(StatusCode::CONFLICT, "fence: not the token of the duty's present holder")
-        }
-        Ok(Ok(Done::Routes(record))) => json(StatusCode::OK, routes::taken(&record)),
-        Ok(Err(Failed::Routes(why))) => {
-            refuse(StatusCode::from_u16(why.status()).unwrap_or(StatusCode::BAD_REQUEST), why)
-        }
-        Ok(Err(Failed::TooLong(why))) => refuse(StatusCode::PAYLOAD_TOO_LARGE, why),
-        Ok(Err(Failed::NoRoutes)) => refuse(StatusCode::NOT_FOUND, super::NO_PATH),
-        Ok(Err(Failed::Storage(why))) => refuse(StatusCode::SERVICE_UNAVAILABLE, format!("storage: {why}")),
-        Err(_) => refuse(StatusCode::SERVICE_UNAVAILABLE, "the writer has stopped"),
-    }
-}
--- a/src/bin/registry/http/leases.rs
+++ b/src/bin/registry/http/leases.rs
@@ -1,7 +1,8 @@
 //! Leases: who holds which duty.
 
-use super::Door;
-use super::answer::{Answer, answer, body, ordered, refuse};
+use super::answer::{Answer, answer, body, refuse};
+use super::context::Context;
+use super::written::ordered;
 use crate::lease::{Ask, Lease};
 use crate::writer::{Shared, Want};
 use hyper::body::Incoming;
@@ -16,9 +17,9 @@
 }
 
 /// PUT without a token acquires, with one renews; DELETE releases.
-pub async fn lease(request: Request<Incoming>, door: &Door) -> Answer {
+pub async fn lease(request: Request<Incoming>, context: &Context) -> Answer {
     let releases = request.method() == Method::DELETE;
-    let ask: Ask = match body(request, door).await {
+    let ask: Ask = match body(request, context).await {
         Ok(ask) => ask,
         Err(refusal) => return refusal,
     };
@@ -27,6 +28,6 @@
     }
     match ask.check() {
         Err(why) => refuse(StatusCode::BAD_REQUEST, why),
-        Ok(()) => ordered(Want::Lease(ask), &door.orders).await,
+        Ok(()) => ordered(Want::Lease(ask), &context.orders).await,
     }
 }
--- a/src/bin/registry/http/lists.rs
+++ b/src/bin/registry/http/lists.rs
@@ -1,15 +1,16 @@
 //! The list, the watch and registrations.
 
-use super::Door;
-use super::answer::{Answer, answer, body, ordered, refuse};
-use super::query::{Watch, watch};
-use crate::store::Entry;
+use super::answer::{Answer, answer, body, refuse};
+use super::context::Context;
+use super::query::{QueryError, Watch, service, watch};
+use super::written::ordered;
 use crate::writer::{Fence, Shared, Want};
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::time::timeout;
+use turnshift::catalog::{Entry, ServiceName};
 
 /// Shortest and longest TTL of a registration.
 pub const TTL_MS: (u64, u64) = (100, 86_400_000);
@@ -26,29 +27,36 @@
     fence: Option<Fence>,
 }
 
-/// The list, or what changed after a version.
-pub async fn read(query_text: &str, shared: &Shared) -> Answer {
-    let Watch { after, wait, .. } = match watch(query_text, "the list", &[]) {
+/// The list of a service, or what changed in it after a version.
+pub async fn read(query: &str, shared: &Shared) -> Answer {
+    let (service, Watch { after, wait, .. }) = match asked(query) {
         Ok(asked) => asked,
         Err(why) => return refuse(StatusCode::BAD_REQUEST, why),
     };
-    if let Some(after) = after {
-        let mut newest = shared.newest.subscribe();
-        if *newest.borrow_and_update() == after && !wait.is_zero() {
-            // Nothing newer yet: wait for it, or for the end of the wait. The waiting is this future alone.
-            let _ = timeout(wait, newest.wait_for(|seq| *seq > after)).await;
+    if let Some(after) = after.filter(|_| !wait.is_zero()) {
+        let mut waiting = shared.wakers.wait(&service);
+        // Nothing newer yet: wait for it, or for the end of the wait. The waiting is this future alone.
+        if shared.version(&service) == after {
+            let _ = timeout(wait, waiting.newer_than(after)).await;
         }
     }
-    let page = shared.pages.lock().unwrap_or_else(|p| p.into_inner()).get(&shared.state(), after);
-    match page {
+    match shared.page(&service, after) {
         Ok(body) => answer(StatusCode::OK, body),
         Err(e) => refuse(StatusCode::INTERNAL_SERVER_ERROR, e),
     }
 }
 
+fn asked(query: &str) -> Result<(ServiceName, Watch), QueryError> {
+    Ok((service(query)?, watch(query, "the list", &["service"])?))
+}
+
 /// Registers or renews.
-pub async fn write(request: Request<Incoming>, door: &Door) -> Answer {
-    let write: Write = match body(request, door).await {
+pub async fn write(query: &str, request: Request<Incoming>, context: &Context) -> Answer {
+    let service = match service(query) {
+        Ok(service) => service,
+        Err(why) => return refuse(StatusCode::BAD_REQUEST, why),
+    };
+    let write: Write = match body(request, context).await {
         Ok(write) => write,
         Err(refusal) => return refusal,
     };
@@ -62,5 +70,5 @@
         return refuse(StatusCode::BAD_REQUEST, why);
     }
     let ttl = Duration::from_millis(write.ttl_ms);
-    ordered(Want::Entries { entries: write.hosts, ttl, fence: write.fence }, &door.orders).await
+    ordered(Want::Entries { service, entries: write.hosts, ttl, fence: write.fence }, &context.orders).await
 }
--- a/src/bin/registry/http/query.rs
+++ b/src/bin/registry/http/query.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 use thiserror::Error;
+use turnshift::catalog::{ServiceName, ServiceNameError};
 
 /// The longest a watch waits (PROTOCOL, "Discovery").
 pub const MAX_WAIT_MS: u64 = 60_000;
@@ -20,6 +21,12 @@
     /// A name that nobody has.
     #[error("name: must be 1 to {MAX_NAME} printable bytes, as in the proxy's reports")]
     Name,
+    /// No name of a service.
+    #[error(transparent)]
+    Service(#[from] ServiceNameError),
+    /// A service where there is none.
+    #[error("service: {0} is not per service yet, only the list at {LIST} is; leave it out")]
+    NotPerService(String),
     /// A key that is not known.
     #[error("{key}: unknown; {what} takes {keys}")]
     Key {
@@ -32,6 +39,27 @@
     },
 }
 
+/// The path of the lists.
+const LIST: &str = "/registry/instances";
+
+/// The service that a query names, or that of no name.
+pub fn service(text: &str) -> Result<ServiceName, QueryError> {
+    let mut named = ServiceName::default();
+    for (key, value) in form_urlencoded::parse(text.as_bytes()) {
+        if key == "service" {
+            named = ServiceName::new(&value)?;
+        }
+    }
+    Ok(named)
+}
+
+/// Why a path can't be asked for with this query: it names a service, and the path knows none.
+pub fn not_per_service(path: &str, text: &str) -> Option<QueryError> {
+    let names = form_urlencoded::parse(text.as_bytes()).any(|(key, _)| key == "service");
+    (names && path.starts_with("/registry/") && path != LIST)
+        .then(|| QueryError::NotPerService(path.to_string()))
+}
+
 /// What a watch asks for.
 #[derive(Debug, Default, PartialEq)]
 pub struct Watch {
@@ -43,7 +71,8 @@
     pub name: Option<String>,
 }
 
-/// Reads `after` and `wait_ms`, and of `name` and `generation` those in `more`.
+/// Reads `after` and `wait_ms`, and of `name`, `generation` and `service` those in `more`; the last one by
+/// [`service`].
 pub fn watch(text: &str, what: &'static str, more: &[&str]) -> Result<Watch, QueryError> {
     let mut asked = Watch::default();
     for (key, value) in form_urlencoded::parse(text.as_bytes()) {
@@ -63,6 +92,7 @@
             }
             // Told so that it can be seen in a capture which process asks; the table goes by the name.
             "generation" if more.contains(&"generation") => drop(number()?),
+            "service" if more.contains(&"service") => {}
             _ => {
                 let keys = [&["after", "wait_ms"], more].concat().join(", ");
                 return Err(QueryError::Key { key: key.to_string(), what, keys });
--- a/src/bin/registry/http/routes.rs
+++ b/src/bin/registry/http/routes.rs
@@ -1,8 +1,9 @@
 //! The route table, proxies' reports, what drifts, and recorded segments.
 
-use super::Door;
-use super::answer::{Answer, answer as page, body, bytes, ordered, refuse};
+use super::answer::{Answer, answer as page, body, bytes, refuse};
+use super::context::Context;
 use super::query::{Watch, watch};
+use super::written::ordered;
 use crate::routes::{Host, RingError};
 use crate::writer::{Fence, Want};
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, timeout_at};
 use turnshift::replay::{BadSegment, MAX_ENCODED};
-use turnshift::routes::{DriftPage, Proposal, Report, Revision, RouteRecord, StatePage, Weights};
+use turnshift::routes::{DriftPage, Proposal, Report, Revision, StatePage, Weights};
 
 /// Longest report, in bytes.
 const MAX_REPORT: usize = 1 << 20;
@@ -58,20 +59,20 @@
 }
 
 /// Answers a call.
-pub async fn answer(path: Path, request: Request<Incoming>, host: &Host, door: &Door) -> Answer {
+pub async fn answer(path: Path, request: Request<Incoming>, host: &Host, context: &Context) -> Answer {
     let (get, put) = (request.method() == Method::GET, request.method() == Method::PUT);
     let query = request.uri().query().unwrap_or("").to_string();
     let not_so = |why| refuse(StatusCode::METHOD_NOT_ALLOWED, why);
     match path {
         Path::Routes if get => read(&query, host).await,
-        Path::Routes if put => propose(request, door).await,
+        Path::Routes if put => propose(request, context).await,
         Path::Routes => not_so("GET reads the table, PUT proposes another"),
-        Path::Reports if put => report(request, host, door).await,
+        Path::Reports if put => report(request, host, context).await,
         Path::Reports => not_so("PUT reports; what comes of it is at /registry/drift"),
         Path::Drift if get => drift(&query, host).await,
         Path::Drift => not_so("GET reads the findings"),
         Path::Traces if get => json_page(&host.traces.ring.page()),
-        Path::Traces if put => segment(request, host, door).await,
+        Path::Traces if put => segment(request, host, context).await,
         Path::Traces => not_so("GET tells what is held, PUT sends a segment"),
     }
 }
@@ -83,15 +84,8 @@
     }
 }
 
-/// A proposal that was taken.
-pub fn taken(record: &RouteRecord) -> Value {
-    let Some(work) = &record.work else { return json!({"revision": record.in_force.revision}) };
-    let state = if work.rollout.is_some() { "rolling_out" } else { "judging" };
-    json!({"revision": work.table.revision, "from": work.table.from, "digest": work.table.digest, "state": state})
-}
-
-async fn propose(request: Request<Incoming>, door: &Door) -> Answer {
-    let Propose { from, weights, by, override_why, fence } = match body(request, door).await {
+async fn propose(request: Request<Incoming>, context: &Context) -> Answer {
+    let Propose { from, weights, by, override_why, fence } = match body(request, context).await {
         Ok(propose) => propose,
         Err(refusal) => return refusal,
     };
@@ -100,7 +94,7 @@
         return refuse(StatusCode::BAD_REQUEST, why);
     }
     let proposal = Proposal { from, weights, by, override_why };
-    ordered(Want::Routes { proposal, fence }, &door.orders).await
+    ordered(Want::Routes { proposal, fence }, &context.orders).await
 }
 
 /// The state of the table, or the table that is meant for a proxy.
@@ -141,8 +135,8 @@
     }
 }
 
-async fn report(request: Request<Incoming>, host: &Host, door: &Door) -> Answer {
-    let text = match bytes(request, &door.reports, MAX_REPORT, door).await {
+async fn report(request: Request<Incoming>, host: &Host, context: &Context) -> Answer {
+    let text = match bytes(request, &context.reports, MAX_REPORT, context).await {
         Ok(text) => text,
         Err(refusal) => return refusal,
     };
@@ -177,8 +171,8 @@
 }
 
 /// A recorded segment, as the proxy packed it.
-async fn segment(request: Request<Incoming>, host: &Host, door: &Door) -> Answer {
-    let packed: Bytes = match bytes(request, &door.traces, MAX_ENCODED, door).await {
+async fn segment(request: Request<Incoming>, host: &Host, context: &Context) -> Answer {
+    let packed: Bytes = match bytes(request, &context.traces, MAX_ENCODED, context).await {
         Ok(packed) => packed,
         Err(refusal) => return refusal,
     };
--- a/src/bin/registry/main.rs
+++ b/src/bin/registry/main.rs
@@ -57,7 +57,7 @@
         warn!(bytes = found.cut, after_records = found.records, "torn or spoilt tail cut off the log");
     }
     let took_ms = started.elapsed().as_millis() as u64;
-    info!(seq = state.seq, entries = state.live(), records = found.records, snapshot = ?found.snapshot_seq, took_ms,
+    info!(seq = state.catalog.newest(), entries = state.catalog.live(), services = state.catalog.services(), records = found.records, snapshot = ?found.snapshot_seq, took_ms,
         "state read from disk");
     if log.due(snapshot_every) {
         writer::compact(&mut log, &state);
--- a/src/bin/registry/routes/host.rs
+++ b/src/bin/registry/routes/host.rs
@@ -6,7 +6,7 @@
 use super::pages::Pages;
 use super::traces::Traces;
 use crate::error::StartError;
-use crate::store::{Health, MAX_RECORD, Record, State};
+use crate::store::{MAX_RECORD, Record, State};
 use bytes::Bytes;
 use serde_json::{Value, json};
 use std::path::Path;
@@ -14,6 +14,7 @@
 use thiserror::Error;
 use tokio::sync::watch;
 use tracing::{debug, info, warn};
+use turnshift::catalog::{Entry, ServiceName};
 use turnshift::replay::{Job, Listed};
 use turnshift::routes::{
     Backend, BadReport, Control, DriftPage, Effect, Finding, Outcome, Proposal, Refused, Report, Revision,
@@ -217,20 +218,21 @@
 }
 
 impl Inner {
-    /// Takes the list of backends if it has changed.
+    /// Takes the list of backends if it has changed: that of the service of no name, as the table is.
     fn list(&mut self, state: &State) {
-        if self.list == state.seq {
+        let service = ServiceName::default();
+        let version = state.catalog.version(&service);
+        if self.list == version {
             return;
         }
-        self.list = state.seq;
-        let entries = state.renewable().map(|change| &change.entry).filter(|e| e.health != Health::Deleted);
-        let backend = |e: &crate::store::Entry| Backend {
+        self.list = version;
+        let backend = |e: &Entry| Backend {
             host: e.host.clone(),
             class: e.class.clone(),
             zone: e.site.clone(),
             share: e.share,
         };
-        self.listed = entries.map(backend).collect();
+        self.listed = state.catalog.entries(&service).map(|change| backend(&change.entry)).collect();
         self.listed.sort_by(|a, b| a.host.cmp(&b.host));
         self.control.list(&self.listed);
     }
--- a/src/bin/registry/routes/traces.rs
+++ b/src/bin/registry/routes/traces.rs
@@ -24,7 +24,8 @@
 impl Traces {
     /// Over a directory, which is made if missing and read in the thread.
     pub fn start(dir: &Path, bytes: u64, keep_ms: u64) -> Result<Traces, StartError> {
-        std::fs::create_dir_all(dir).map_err(|error| StartError::Data { path: dir.to_path_buf(), error })?;
+        std::fs::create_dir_all(dir)
+            .map_err(|error| StartError::Data { path: dir.to_path_buf(), error: error.into() })?;
         let ring = Arc::new(Ring::new(dir, bytes, keep_ms));
         let (segments, taken) = sync_channel::<(Bytes, u64, oneshot::Sender<Taken>)>(WAITING);
         let for_thread = ring.clone();
--- a/src/bin/registry/store/log.rs
+++ b/src/bin/registry/store/log.rs
@@ -1,13 +1,14 @@
 //! The log on disk and the snapshot beside it.
 
 use super::frame::{frame, unframe};
-use super::state::Snapshot;
+use super::snapshot::Snapshot;
 use super::{Record, State};
 use serde::Deserialize;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
+use thiserror::Error;
 
 /// Longest record, in bytes: anything longer is taken for garbage on reading.
 pub const MAX_RECORD: usize = 16 << 20;
@@ -51,36 +52,68 @@
     pub cut: u64,
 }
 
+/// Why a data directory can't be opened. Nothing in it has been changed then.
+#[derive(Error, Debug)]
+pub enum OpenError {
+    /// The system refuses.
+    #[error("{0}; give a directory that can be written, or put back a copy of its snapshot and log")]
+    Io(#[from] io::Error),
+    /// The snapshot is spoilt.
+    #[error("snapshot: checksum or length is wrong; put back a copy of the snapshot and the log")]
+    SnapshotSpoilt,
+    /// The snapshot is sound, but not of a form that this build knows.
+    #[error(
+        "snapshot: {0}; a later build wrote it: start that one, or put back an older copy of the directory"
+    )]
+    SnapshotOfLaterBuild(serde_json::Error),
+    /// A record is sound, but not of a form that this build knows.
+    #[error(
+        "log: record {number} at byte {at} is sound but of a form that this build does not know; a later build wrote \
+         it: start that one, or put back an older copy of the directory. Nothing was cut off"
+    )]
+    RecordOfLaterBuild {
+        /// Which, from 1 on.
+        number: u64,
+        /// Where it begins.
+        at: usize,
+    },
+}
+
 fn sync_dir(dir: &Path) -> io::Result<()> {
     File::open(dir)?.sync_all()
 }
 
+fn read_snapshot(dir: &Path) -> Result<Option<Snapshot>, OpenError> {
+    let bytes = match fs::read(dir.join("snapshot")) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e.into()),
+    };
+    let (payload, _) = unframe(&bytes, MAX_SNAPSHOT).ok_or(OpenError::SnapshotSpoilt)?;
+    serde_json::from_slice(payload).map(Some).map_err(OpenError::SnapshotOfLaterBuild)
+}
+
 impl Log {
     /// Opens the data directory, or makes it, and reads the state from it. A torn tail is cut off the log.
-    pub fn open(dir: &Path, sync: Sync, max_tombstones: usize) -> io::Result<(Log, State, Found)> {
+    pub fn open(dir: &Path, sync: Sync, max_tombstones: usize) -> Result<(Log, State, Found), OpenError> {
         fs::create_dir_all(dir)?;
-        let mut state = State::new(max_tombstones);
-        let mut found = Found { snapshot_seq: None, records: 0, cut: 0 };
-        match fs::read(dir.join("snapshot")) {
-            Ok(bytes) => {
-                let bad =
-                    || io::Error::new(io::ErrorKind::InvalidData, "snapshot: checksum or length is wrong");
-                let (payload, _) = unframe(&bytes, MAX_SNAPSHOT).ok_or_else(bad)?;
-                let snapshot: Snapshot = serde_json::from_slice(payload).map_err(io::Error::other)?;
-                found.snapshot_seq = Some(snapshot.seq);
-                state.restore(snapshot);
-            }
-            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
-            Err(e) => return Err(e),
-        }
+        let snapshot = read_snapshot(dir)?;
+        let snapshot_seq = snapshot.as_ref().map(|snapshot| snapshot.seq);
+        let mut state =
+            snapshot.map_or_else(|| State::new(max_tombstones), |snapshot| snapshot.restore(max_tombstones));
+        let mut found = Found { snapshot_seq, records: 0, cut: 0 };
         let path = dir.join("log");
         let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
         let mut bytes = Vec::new();
         file.read_to_end(&mut bytes)?;
         let mut at = 0;
         while let Some((payload, used)) = unframe(&bytes[at..], MAX_RECORD) {
-            let Some(record) = Record::decode(payload) else { break };
-            state.apply(record);
+            // Zeros, as a crash may leave them at the end, are a frame with nothing in it.
+            if payload.is_empty() {
+                break;
+            }
+            let later = OpenError::RecordOfLaterBuild { number: found.records + 1, at };
+            state.apply(Record::decode(payload).ok_or(later)?);
             found.records += 1;
             at += used;
         }
@@ -101,7 +134,7 @@
         // Every start goes on at the time, in microseconds, so that versions lost with the cut, with an older copy
         // of the directory or with the directory itself lie in a gap and are not taken for this history's.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
-        let start = unix.max(state.seq.max(state.token) + 1 + found.cut / MIN_RECORD);
+        let start = unix.max(state.catalog.newest().max(state.token) + 1 + found.cut / MIN_RECORD);
         log.append(&[Record::Start(start)])?;
         state.start(start);
         Ok((log, state, found))
@@ -155,7 +188,7 @@
 
     /// Writes the state as the snapshot and begins the log anew: compaction.
     pub fn compact(&mut self, state: &State) -> io::Result<u64> {
-        let record = frame(&serde_json::to_vec(&state.snapshot()).map_err(io::Error::other)?);
+        let record = frame(&serde_json::to_vec(&Snapshot::of(state)).map_err(io::Error::other)?);
         let temporary = self.dir.join("snapshot.tmp");
         let mut file = File::create(&temporary)?;
         file.write_all(&record)?;
--- a/src/bin/registry/store/mod.rs
+++ b/src/bin/registry/store/mod.rs
@@ -3,16 +3,15 @@
 //! On disk a record is `length (u32 LE) | crc32 of the payload (u32 LE) | payload (JSON)`. The log holds `Record`s;
 //! the snapshot holds one `Snapshot`. See `docs/registry.md`.
 
-mod entry;
 mod frame;
 mod log;
 mod record;
+mod snapshot;
 mod state;
 #[cfg(test)]
 #[path = "../../../../tests/unit/registry/store.rs"]
 mod tests;
 
-pub use entry::{Entry, Health};
-pub use log::{Log, MAX_RECORD, Sync};
-pub use record::{Change, Record};
+pub use log::{Log, MAX_RECORD, OpenError, Sync};
+pub use record::Record;
 pub use state::State;
--- a/src/bin/registry/store/record.rs
+++ b/src/bin/registry/store/record.rs
@@ -1,36 +1,20 @@
 //! What the log holds, as JSON.
+//!
+//! Updates of the service of no name have the form that they had before there were others.
 
-use super::Entry;
 use crate::lease::Lease;
 use serde::{Deserialize, Serialize};
+use turnshift::catalog::{Change, ServiceName, Update};
 use turnshift::routes::RouteRecord;
 
-/// A change with its version: one log record.
-#[derive(Serialize, Deserialize, Clone, Debug)]
-pub struct Change {
-    /// Its version.
-    pub seq: u64,
-    /// The entry as it is from this version on.
-    pub entry: Entry,
-    /// How long it lives without renewal.
-    #[serde(default = "minute")]
-    pub ttl_ms: u64,
-}
-
-fn minute() -> u64 {
-    60_000
-}
-
 /// What the log holds.
 pub enum Record {
-    /// A change: a new version.
-    Change(Change),
-    /// A renewal with another TTL, which is no new version.
-    Renewal {
-        /// Whose.
-        host: String,
-        /// The TTL from now on.
-        ttl_ms: u64,
+    /// What happened to an entry.
+    Update {
+        /// Of which service.
+        service: ServiceName,
+        /// What.
+        update: Update,
     },
     /// A start of the registry: versions and tokens go on from here.
     Start(u64),
@@ -42,11 +26,12 @@
     Routes(Box<RouteRecord>),
 }
 
-/// The records that are not changes.
+/// The records that are not changes of the service of no name.
 #[derive(Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
 enum Other {
     Renewal { host: String, ttl_ms: u64 },
+    Service { name: ServiceName, update: Update },
     Start(u64),
     Lease(Lease),
     Release(String),
@@ -57,9 +42,14 @@
     /// As the log holds it.
     pub fn encode(&self) -> serde_json::Result<Vec<u8>> {
         match self {
-            Record::Change(change) => serde_json::to_vec(change),
-            Record::Renewal { host, ttl_ms } => {
-                serde_json::to_vec(&Other::Renewal { host: host.clone(), ttl_ms: *ttl_ms })
+            Record::Update { service, update } if service.is_unnamed() => match update {
+                Update::Change(change) => serde_json::to_vec(change),
+                Update::Renewal { host, ttl_ms } => {
+                    serde_json::to_vec(&Other::Renewal { host: host.clone(), ttl_ms: *ttl_ms })
+                }
+            },
+            Record::Update { service, update } => {
+                serde_json::to_vec(&Other::Service { name: service.clone(), update: update.clone() })
             }
             Record::Start(seq) => serde_json::to_vec(&Other::Start(*seq)),
             Record::Lease(lease) => serde_json::to_vec(&Other::Lease(lease.clone())),
@@ -70,11 +60,13 @@
 
     /// A record from its bytes, unless they are something else.
     pub fn decode(payload: &[u8]) -> Option<Record> {
-        if let Ok(change) = serde_json::from_slice(payload) {
-            return Some(Record::Change(change));
+        let unnamed = |update| Record::Update { service: ServiceName::default(), update };
+        if let Ok(change) = serde_json::from_slice::<Change>(payload) {
+            return Some(unnamed(Update::Change(change)));
         }
         Some(match serde_json::from_slice(payload).ok()? {
-            Other::Renewal { host, ttl_ms } => Record::Renewal { host, ttl_ms },
+            Other::Renewal { host, ttl_ms } => unnamed(Update::Renewal { host, ttl_ms }),
+            Other::Service { name, update } => Record::Update { service: name, update },
             Other::Start(seq) => Record::Start(seq),
             Other::Lease(lease) => Record::Lease(lease),
             Other::Release(duty) => Record::Release(duty),
--- a/src/bin/registry/writer/mod.rs
+++ b/src/bin/registry/writer/mod.rs
@@ -1,22 +1,26 @@
 //! The one thread that writes: versions, group commit, TTLs and compaction.
 
+mod deadlines;
 mod order;
 mod records;
 mod routes;
 mod shared;
+mod wake;
 
 pub use order::{Done, Failed, Fence, Order, Want};
 pub use shared::Shared;
 
 use crate::lease::{Table, Written};
-use crate::store::{Health, Log, Record, State};
-use records::records;
+use crate::store::{Log, Record, State};
+use deadlines::Deadlines;
+use records::{Registration, records};
 use routes::Batch;
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 use tracing::{info, warn};
+use turnshift::catalog::{ServiceName, Update};
 
 /// How often lapsed TTLs are looked for.
 const TICK: Duration = Duration::from_millis(50);
@@ -30,12 +34,8 @@
 
 /// Runs until every sender is gone.
 pub fn run(mut log: Log, shared: Arc<Shared>, orders: Receiver<Order>, snapshot_every: u64) {
-    // Deadlines live in memory only: after a restart each entry has its TTL anew.
     let mut last = Instant::now();
-    let mut deadlines: HashMap<String, Instant> = {
-        let state = shared.state();
-        state.renewable().map(|c| (c.entry.host.clone(), last + Duration::from_millis(c.ttl_ms))).collect()
-    };
+    let mut deadlines = Deadlines::new(&shared.state(), last);
     let mut table = {
         let state = shared.state();
         Table::new(state.leases.values(), state.token, last)
@@ -60,11 +60,11 @@
                 stalled_ms = stalled.as_millis() as u64,
                 "the registry stood still: every TTL is longer by that"
             );
-            deadlines.values_mut().for_each(|d| *d += stalled);
+            deadlines.extend(stalled);
             table.extend(stalled);
         }
         // Renewals first, of leases too: one that came in time must not find its entry lapsed.
-        let (mut entries, mut writes, mut answers) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut registrations, mut writes, mut answers) = (Vec::new(), Vec::new(), Vec::new());
         let host = shared.routes.as_deref();
         let mut batch = Batch::begin(host, &shared.state());
         for Order { want, answer } in pending.drain(..) {
@@ -75,36 +75,31 @@
             let done = match want {
                 Want::Lease(ask) => table.ask(&ask, now).map_err(Failed::Lease).map(|(lease, written)| {
                     writes.push(written);
-                    Some(Done::Lease(lease))
+                    Outcome::Done(Done::Lease(lease))
                 }),
                 Want::Routes { proposal, fence } => batch
                     .propose(host, &shared.state(), &table, now, (proposal, fence))
-                    .map(|record| Some(Done::Routes(Box::new(record)))),
+                    .map(|record| Outcome::Done(Done::Routes(Box::new(record)))),
                 Want::Entries { fence: Some(f), .. } if !table.holds(&f.duty, f.token, now) => {
                     Err(Failed::Fenced)
                 }
-                Want::Entries { entries: new, ttl, .. } => {
-                    entries.extend(new.into_iter().map(|e| (e, ttl)));
-                    Ok(None)
+                Want::Entries { service, entries, ttl, .. } => {
+                    let registration = |entry| Registration { service: service.clone(), entry, ttl };
+                    registrations.extend(entries.into_iter().map(registration));
+                    Ok(Outcome::Stored(service))
                 }
             };
             answers.push((done, answer));
         }
-        for (entry, ttl) in &entries {
-            if entry.health == Health::Deleted {
-                deadlines.remove(&entry.host);
-            } else {
-                deadlines.insert(entry.host.clone(), now + *ttl);
-            }
-        }
+        registrations.iter().for_each(|registration| deadlines.take(registration, now));
         writes.extend(table.expire(now));
-        let lapsed: Vec<String> = deadlines.extract_if(|_, d| *d <= now).map(|(host, _)| host).collect();
+        let lapsed = deadlines.lapsed(now);
         let Batch { record: decided, later } = batch;
         pending.extend(later);
         if answers.is_empty() && lapsed.is_empty() && writes.is_empty() && decided.is_none() {
             continue;
         }
-        let (mut records, seq) = records(&shared.state(), entries, &lapsed);
+        let mut records = records(&shared.state(), registrations, &lapsed);
         records.extend(writes.into_iter().filter_map(|written| match written {
             Written::Lease(lease) => Some(Record::Lease(lease)),
             Written::Release(duty) => Some(Record::Release(duty)),
@@ -115,10 +110,7 @@
         table.settle(written.is_ok());
         match &written {
             Ok(()) => {
-                let mut state = shared.state.write().unwrap_or_else(|p| p.into_inner());
-                records.into_iter().for_each(|record| state.apply(record));
-                drop(state);
-                shared.newest.send_if_modified(|newest| std::mem::replace(newest, seq) != seq);
+                store(&shared, records);
                 if log.due(snapshot_every) {
                     // Lists are answered meanwhile: nobody else writes.
                     compact(&mut log, &shared.state());
@@ -130,7 +122,7 @@
             Err(e) => {
                 warn!(error = %e, records = records.len(), "write failed, nothing of it was answered as stored");
                 // Still due: they are tried again.
-                deadlines.extend(lapsed.into_iter().map(|host| (host, now + RETRY)));
+                deadlines.retry(lapsed, now + RETRY);
             }
         }
         if let (Some(host), Some(decided)) = (host, decided) {
@@ -138,7 +130,10 @@
         }
         for (done, answer) in answers {
             let done = done.and_then(|done| match &written {
-                Ok(()) => Ok(done.unwrap_or(Done::Stored(seq))),
+                Ok(()) => Ok(match done {
+                    Outcome::Stored(service) => Done::Stored(shared.version(&service)),
+                    Outcome::Done(done) => done,
+                }),
                 Err(e) => Err(Failed::Storage(e.clone())),
             });
             // A caller that went away needs no answer.
@@ -147,13 +142,43 @@
     }
 }
 
+/// What becomes of an order once its batch is on disk.
+enum Outcome {
+    /// Entries of this service are visible.
+    Stored(ServiceName),
+    /// What was decided with the batch.
+    Done(Done),
+}
+
+/// Makes records that are on disk visible, and wakes the watches of the services that they change.
+fn store(shared: &Shared, records: Vec<Record>) {
+    let mut changed = HashSet::new();
+    let mut state = shared.state.write().unwrap_or_else(|p| p.into_inner());
+    for record in records {
+        if let Record::Update { service, update: Update::Change(_) } = &record {
+            changed.insert(service.clone());
+        }
+        state.apply(record);
+    }
+    drop(state);
+    for service in changed {
+        shared.changed(&service, shared.version(&service));
+    }
+}
+
 /// Writes a snapshot; a failure leaves the log as it was, to be tried again after the next writes.
 pub fn compact(log: &mut Log, state: &State) {
     let started = Instant::now();
     match log.compact(state) {
         Ok(bytes) => {
             let took_ms = started.elapsed().as_millis() as u64;
-            info!(seq = state.seq, entries = state.live(), bytes, took_ms, "snapshot written, log compacted");
+            info!(
+                seq = state.catalog.newest(),
+                entries = state.catalog.live(),
+                bytes,
+                took_ms,
+                "snapshot written, log compacted"
+            );
         }
         Err(e) => warn!(error = %e, "snapshot failed, the log is kept"),
     }
--- a/src/bin/registry/writer/order.rs
+++ b/src/bin/registry/writer/order.rs
@@ -2,16 +2,16 @@
 
 use crate::lease::{Ask, Lease, Refused};
 use crate::routes::TooLong;
-use crate::store::Entry;
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use turnshift::catalog::{Entry, ServiceName};
 use turnshift::routes::{Proposal, Refused as NoProposal, RouteRecord};
 
 /// What was done, once it is on disk.
 #[derive(Clone, Debug)]
 pub enum Done {
-    /// Entries are visible from this version on.
+    /// Entries are visible from this version of their service on.
     Stored(u64),
     /// A lease was granted, renewed or released.
     Lease(Lease),
@@ -40,6 +40,8 @@
 pub enum Want {
     /// Entries to store.
     Entries {
+        /// Of which service.
+        service: ServiceName,
         /// The entries; a `DELETED` one takes its name off the list.
         entries: Vec<Entry>,
         /// How long each lives without renewal.
--- a/src/bin/registry/writer/shared.rs
+++ b/src/bin/registry/writer/shared.rs
@@ -1,23 +1,22 @@
 //! What the serving side reads of the state.
 
+use super::wake::Wakers;
 use crate::routes::Host;
 use crate::store::State;
 use bytes::Bytes;
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard};
-use tokio::sync::watch;
+use std::sync::{Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard};
+use turnshift::catalog::{PageCache, ServiceName};
 
-/// Bytes of lists that are kept made.
+/// Bytes of lists that are kept made, over all services.
 const MAX_PAGES: usize = 32 << 20;
 
 /// What the serving side shares with the writer.
 pub struct Shared {
     /// The state as it is on disk.
     pub state: RwLock<State>,
-    /// The newest durable version: watches wait on it.
-    pub newest: watch::Sender<u64>,
-    /// Lists that have been made into bytes.
-    pub pages: Mutex<Pages>,
+    /// The watches that wait, by their service.
+    pub wakers: Arc<Wakers>,
+    pages: Mutex<PageCache>,
     /// The route table, where it is hosted.
     pub routes: Option<Arc<Host>>,
 }
@@ -25,40 +24,32 @@
 impl Shared {
     /// Over a state as it was read from disk.
     pub fn new(state: State, routes: Option<Arc<Host>>) -> Self {
-        let (newest, _) = watch::channel(state.seq);
-        Shared { state: RwLock::new(state), newest, pages: Mutex::default(), routes }
+        let pages = Mutex::new(PageCache::new(MAX_PAGES));
+        Shared { state: RwLock::new(state), wakers: Arc::default(), pages, routes }
     }
 
     /// The state, to be read.
     pub fn state(&self) -> RwLockReadGuard<'_, State> {
         self.state.read().unwrap_or_else(|p| p.into_inner())
     }
-}
 
-/// Lists as bytes, made once for all that ask the same at one version: after a change, or a start, thousands do.
-#[derive(Default)]
-pub struct Pages {
-    seq: u64,
-    held: usize,
-    made: HashMap<Option<u64>, Bytes>,
-}
+    /// A service's version.
+    pub fn version(&self, service: &ServiceName) -> u64 {
+        self.state().catalog.version(service)
+    }
+
+    /// The list of a service, or what changed after a version.
+    pub fn page(&self, service: &ServiceName, after: Option<u64>) -> serde_json::Result<Bytes> {
+        self.pages().get(&self.state().catalog, service, after)
+    }
+
+    /// For the writer: a service has changed, and is at this version.
+    pub fn changed(&self, service: &ServiceName, version: u64) {
+        self.pages().forget(service);
+        self.wakers.wake(service, version);
+    }
 
-impl Pages {
-    /// The list after a version, or the whole one.
-    pub fn get(&mut self, state: &State, after: Option<u64>) -> serde_json::Result<Bytes> {
-        if std::mem::replace(&mut self.seq, state.seq) != state.seq {
-            (self.held, self.made) = (0, HashMap::new());
-        }
-        let after = after.filter(|&seq| state.knows(seq));
-        if let Some(page) = self.made.get(&after) {
-            return Ok(page.clone());
-        }
-        let page = after.map_or_else(|| state.whole(), |seq| state.since(seq));
-        let page = Bytes::from(serde_json::to_vec(&page)?);
-        if self.held + page.len() <= MAX_PAGES {
-            self.held += page.len();
-            self.made.insert(after, page.clone());
-        }
-        Ok(page)
+    fn pages(&self) -> MutexGuard<'_, PageCache> {
+        self.pages.lock().unwrap_or_else(|p| p.into_inner())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 
 pub mod api;
 mod balancer;
+pub mod catalog;
 pub mod replay;
 pub mod routes;
 pub mod settings;
--- a/tests/unit/registry/store.rs
+++ b/tests/unit/registry/store.rs
@@ -1,7 +1,7 @@
 use super::log::MIN_RECORD;
-use super::state::MAX_GAPS;
 use super::*;
 use crate::lease::Lease;
+use turnshift::catalog::{Change, Entry, Health, MAX_GAPS, Page, ServiceName, Update};
 use turnshift::routes::RouteRecord;
 
 fn entry(host: &str, health: Health) -> Entry {
@@ -19,7 +19,19 @@
 }
 
 fn change(seq: u64, host: &str, health: Health) -> Record {
-    Record::Change(Change { seq, entry: entry(host, health), ttl_ms: 1000 })
+    unnamed(Update::Change(Change { seq, entry: entry(host, health), ttl_ms: 1000 }))
+}
+
+fn unnamed(update: Update) -> Record {
+    Record::Update { service: ServiceName::default(), update }
+}
+
+fn since(state: &State, after: u64) -> Page<'_> {
+    state.catalog.since(&ServiceName::default(), after)
+}
+
+fn horizon(state: &State) -> u64 {
+    state.catalog.horizon(&ServiceName::default())
 }
 
 #[test]
@@ -29,21 +41,21 @@
     for start in [10, 20] {
         state.apply(Record::Start(start));
         state.apply(Record::Start(start - 1));
-        assert_eq!(state.seq, start, "a start never goes back");
+        assert_eq!(state.catalog.newest(), start, "a start never goes back");
     }
     state.apply(change(21, "b", Health::Serving));
-    let whole: Vec<u64> = (0..23).filter(|&after| state.since(after).whole).collect();
+    let whole: Vec<u64> = (0..23).filter(|&after| since(&state, after).whole).collect();
     assert_eq!(whole, (2..10).chain(11..20).chain([22]).collect::<Vec<_>>());
     for start in 0..MAX_GAPS as u64 {
         state.apply(Record::Start(100 + start * 10));
     }
-    assert_eq!((state.gaps.len(), state.horizon), (MAX_GAPS, 20), "old gaps go, the horizon follows");
-    assert!(state.since(1).whole && !state.since(21).whole);
+    assert_eq!((state.catalog.gaps(), horizon(&state)), (MAX_GAPS, 20), "old gaps go, the horizon follows");
+    assert!(since(&state, 1).whole && !since(&state, 21).whole);
 }
 
 #[test]
 fn each_kind_of_record_is_read_as_it_was_written() {
-    let renewal = Record::Renewal { host: "a".into(), ttl_ms: 7 };
+    let renewal = unnamed(Update::Renewal { host: "a".into(), ttl_ms: 7 });
     let lease = Lease { duty: "d".into(), holder: "a".into(), token: 5, ttl_ms: 100 };
     let routes = Box::new(RouteRecord::empty());
     let others = [
@@ -57,14 +69,17 @@
         let text = record.encode().expect("JSON");
         let again = Record::decode(&text).expect("a record").encode().expect("JSON");
         assert_eq!(text, again);
-        assert!(text.len() as u64 + 8 >= MIN_RECORD || !matches!(record, Record::Change(_)));
+        assert!(
+            text.len() as u64 + 8 >= MIN_RECORD
+                || !matches!(record, Record::Update { update: Update::Change(_), .. })
+        );
     }
     let least = Change {
         seq: 1,
         entry: Entry { site: String::new(), dial: None, ..entry("a", Health::Deleted) },
         ttl_ms: 1,
     };
-    assert!(Record::Change(least).encode().expect("JSON").len() as u64 + 8 >= MIN_RECORD);
+    assert!(unnamed(Update::Change(least)).encode().expect("JSON").len() as u64 + 8 >= MIN_RECORD);
     assert!(Record::decode(b"{}").is_none());
 }
 
@@ -74,13 +89,13 @@
     state.apply(change(1, "a", Health::Serving));
     state.apply(change(2, "b", Health::Serving));
     state.apply(change(3, "a", Health::Deleted));
-    let delta = state.since(1);
+    let delta = since(&state, 1);
     assert!(!delta.whole);
     assert_eq!(delta.hosts.iter().map(|e| e.host.as_str()).collect::<Vec<_>>(), ["b", "a"]);
-    assert_eq!(state.whole().hosts.len(), 1);
+    assert_eq!(state.catalog.whole(&ServiceName::default()).hosts.len(), 1);
     state.apply(change(4, "b", Health::Deleted));
-    assert_eq!(state.horizon, 3, "the oldest tombstone went");
-    assert!(state.since(2).whole, "a delta from before the horizon would miss a deletion");
-    assert!(!state.since(3).whole);
-    assert!(state.since(9).whole, "a version from another history");
+    assert_eq!(horizon(&state), 3, "the oldest tombstone went");
+    assert!(since(&state, 2).whole, "a delta from before the horizon would miss a deletion");
+    assert!(!since(&state, 3).whole);
+    assert!(since(&state, 9).whole, "a version from another history");
 }
