--- a/tests/agent_rig/mod.rs
+++ b/tests/agent_rig/mod.rs
@@ -29,6 +29,10 @@
     Late(Arc<Notify>),
     /// An answer with this text.
     Text(String),
+    /// The connection ends in order, with no answer, once there is news.
+    EndAtNews,
+    /// An HTTP answer as it stands, a byte at a time without pauses; the connection ends if it says so.
+    Bytes(String),
 }
 
 /// A call for the list.
@@ -169,15 +173,17 @@
             let mut outages = shared.outages.subscribe();
             let _ = outages.wait_for(|n| *n != outage || n % 2 == 1).await;
         };
-        let ended = tokio::select! {
+        tokio::select! {
             biased;
-            () = down => false,
-            answered = answer(&mut stream, shared, order, after, wait) => answered.is_some(),
-        };
-        if !ended {
-            // Its caller may leave it; nothing more is written.
-            let _ = stream.read(&mut [0; 64]).await;
-            return;
+            () = down => {
+                // Its caller may leave it; nothing more is written.
+                let _ = stream.read(&mut [0; 64]).await;
+                return;
+            }
+            answered = answer(&mut stream, shared, order, after, wait) => if answered.is_none() {
+                // It ends here, and with it the connection.
+                return;
+            }
         }
     }
 }
@@ -218,6 +224,18 @@
             if news { page() } else { json!({"seq": after, "whole": false, "hosts": []}).to_string() }
         }
         Some(Say::Text(text)) => text,
+        Some(Say::EndAtNews) => {
+            let _ = shared.list.subscribe().changed().await;
+            return None;
+        }
+        Some(Say::Bytes(answer)) => {
+            stream.set_nodelay(true).ok()?;
+            let answer_ends = answer.contains("Connection: close");
+            for byte in answer.into_bytes() {
+                stream.write_all(&[byte]).await.ok()?;
+            }
+            return (!answer_ends).then_some(());
+        }
         Some(Say::Late(release)) => {
             let mut over = [0];
             tokio::select! {
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -3,5 +3,6 @@
 mod cold;
 #[path = "../common/mod.rs"]
 mod common;
+mod idle;
 mod keys;
 mod lives;
