Raise the limits of route tables, reports and recorded segments above 10,000 backends

Need: weights, proxies that report and backends of a segment ended at 4,096, just below a fleet of 4,100 with a proxy each.

Change: each is 16,384, its memory in its doc comment. The limits fit each other now: a proxy reads tables of 8 MiB, where 1 MiB was shorter than a table that a registry took (4,096 names of 253 bytes are 1.1 MB, and weights are written longer than they were proposed). A proxy whose list has more backends than a segment warns once and counts requests to the others as dropped; before, it left them out without a word.

--- a/src/bin/heathroad/recorder.rs
+++ b/src/bin/heathroad/recorder.rs
@@ -16,7 +16,9 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 use turnshift::api::{Arrival, AttemptNo, BackendId, Outcome, RequestId};
-use turnshift::replay::{About, Ending, Listed, MAX_TRACES, Recorder, Reply, SAMPLED_OF, Segment};
+use turnshift::replay::{
+    About, Ending, Listed, MAX_BACKENDS, MAX_TRACES, Recorder, Reply, SAMPLED_OF, Segment,
+};
 
 /// How often it is looked whether a segment is due.
 const LOOK: Duration = Duration::from_millis(250);
@@ -121,7 +123,16 @@
 
     /// Another list is held.
     pub fn list(&self, now: f64, version: u64, listed: impl Iterator<Item = (BackendId, Listed)>) {
-        let cut = self.recorder.borrow_mut().list(now, version, listed);
+        let recorder = &mut *self.recorder.borrow_mut();
+        let before = recorder.left_out();
+        let cut = recorder.list(now, version, listed);
+        let left_out = recorder.left_out();
+        if left_out > 0 && before == 0 {
+            warn!(
+                "record: {left_out} backends are more than the {MAX_BACKENDS} of a segment, requests to them are counted \
+                 as dropped; have this proxy's discovery list its own service only"
+            );
+        }
         self.keep(cut);
     }
 
--- a/src/bin/heathroad/routes/watch.rs
+++ b/src/bin/heathroad/routes/watch.rs
@@ -16,8 +16,9 @@
 const WAIT: Duration = Duration::from_secs(5);
 /// Pause after an answer without news that came at once.
 const LULL: Duration = Duration::from_millis(500);
-/// Longest table.
-const MAX_TABLE: usize = 1 << 20;
+/// Longest table, in bytes: one with all the weights that a table may have, under the longest names, takes 4.5 MB
+/// (computed). So what a registry takes can be read here; no more than this is held of an answer.
+const MAX_TABLE: usize = 8 << 20;
 
 impl Routes {
     /// Follows it wherever the registries move to.
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -25,6 +25,6 @@
 pub use job::{Bounds, Job, Listed};
 pub use judge::judge;
 pub use recorder::{About, Recorder};
-pub use segment::{BadSegment, MAX_ENCODED, MAX_TRACES, SAMPLED_OF};
+pub use segment::{BadSegment, MAX_BACKENDS, MAX_ENCODED, MAX_TRACES, SAMPLED_OF};
 pub use trace::{Ending, Peers, Reply, Segment, Trace, Try};
 pub use verdict::{BackendFigures, Breach, ClassFigures, Decision, Prediction, Range, Unsure, Verdict};
--- a/src/replay/recorder.rs
+++ b/src/replay/recorder.rs
@@ -45,6 +45,7 @@
     peers: Option<Peers>,
     list_version: u64,
     listed: BTreeMap<BackendId, Listed>,
+    left_out: usize,
     open: HashMap<RequestId, Open>, // looked up, never iterated but to drop
     done: Vec<(Trace, Vec<BackendId>)>,
     seen: u64,
@@ -73,6 +74,7 @@
             peers: None,
             list_version: 0,
             listed: BTreeMap::new(),
+            left_out: 0,
             open: HashMap::new(),
             done: Vec::new(),
             seen: 0,
@@ -169,12 +171,19 @@
         version: u64,
         listed: impl IntoIterator<Item = (BackendId, Listed)>,
     ) -> Option<Segment> {
-        let listed: BTreeMap<_, _> = listed.into_iter().take(MAX_BACKENDS).collect();
+        let mut listed: BTreeMap<_, _> = listed.into_iter().collect();
+        self.left_out = listed.len().saturating_sub(MAX_BACKENDS);
+        (0..self.left_out).for_each(|_| drop(listed.pop_last()));
         let cut = if listed == self.listed { None } else { self.take(now_ms) };
         (self.list_version, self.listed) = (version, listed);
         cut
     }
 
+    /// Backends of the list that a segment has no room for: what is sent there is counted as dropped.
+    pub fn left_out(&self) -> usize {
+        self.left_out
+    }
+
     /// Gives a segment once one is full or its time is up. To be asked from time to time.
     pub fn cut(&mut self, now_ms: f64) -> Option<Segment> {
         let due = self.done.len() >= self.about.traces || now_ms - self.since >= self.about.span_ms;
--- a/src/replay/segment.rs
+++ b/src/replay/segment.rs
@@ -15,8 +15,9 @@
 pub const MAX_TRACES: usize = 65_536;
 /// Most attempts of all its traces together.
 pub const MAX_TRIES: usize = 4 * MAX_TRACES;
-/// Most backends of a segment.
-pub const MAX_BACKENDS: usize = 4096;
+/// Most backends of a segment: 1.4 MB of it where their names have 20 bytes. With the longest names they take 12.6 MB of
+/// what a segment may unpack to (computed).
+pub const MAX_BACKENDS: usize = 16_384;
 /// Longest name of a proxy, zone, class or backend, in bytes.
 pub const MAX_NAME: usize = 256;
 /// Longest settings, in bytes.
--- a/src/routes/config.rs
+++ b/src/routes/config.rs
@@ -46,7 +46,8 @@
     pub flap_ms: u64,
     /// See `flap_ms`.
     pub flaps: usize,
-    /// Most proxies of which reports are kept.
+    /// Most proxies of which reports are kept. 16,384 with 18 backends each take 41 MB (measured as the resident memory of
+    /// `limits::reports_of_as_many_proxies_...` over that of another test of its file).
     pub names: usize,
     /// Most backends of all kept reports together.
     pub counts: usize,
@@ -75,7 +76,7 @@
             forget_ms: 600_000,
             flap_ms: 300_000,
             flaps: 4,
-            names: 4096,
+            names: 16_384,
             counts: 1 << 20,
         }
     }
--- a/src/routes/table.rs
+++ b/src/routes/table.rs
@@ -8,8 +8,9 @@
 /// 0 is the table that nobody proposed: every weight 1.
 pub type Revision = u64;
 
-/// Most weights of one table.
-pub const MAX_WEIGHTS: usize = 4096;
+/// Most weights of one table: one for each of 10,000 backends, their classes and zones. Such a table takes at the most
+/// 5 MB in memory (16,384 names of 253 bytes with 45 bytes of tree each), 1.1 MB where names have 20 bytes; computed.
+pub const MAX_WEIGHTS: usize = 16_384;
 
 /// Weights beside each other, 1 where nothing is said: a backend gets the product of its own, its machine class's and
 /// its zone's.
