Ask one weight and a body more than the new limits in the test of refused proposals

Cause: routes_judged asked 5,000 weights and a body of 2 MiB to be refused with 413.

Measured: routes_judged 3 passed.

--- a/tests/routes_judged.rs
+++ b/tests/routes_judged.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use turnshift::routes::MAX_WEIGHTS;
 
 const EVERY: Duration = Duration::from_millis(200);
 
@@ -102,7 +103,8 @@
         body.to_string()
     };
     let weights = |backends: Value| with("weights", json!({"backends": backends}));
-    let many: serde_json::Map<String, Value> = (0..5000).map(|n| (format!("s{n}"), json!(1.0))).collect();
+    let many: serde_json::Map<String, Value> =
+        (0..=MAX_WEIGHTS).map(|n| (format!("s{n}"), json!(1.0))).collect();
     let held = Held { digest: "0".repeat(16), ..Held::default() };
     let text = String::from_utf8(made_up(0, (1, 2), 1, EVERY, &held)).expect("text");
     let report = |name: &str| text.replace("\"p0\"", &format!("{name:?}"));
@@ -120,7 +122,7 @@
         (routes, weights(json!({"s0": 100})), 400),
         (routes, good().to_string().replace("0.5", "NaN"), 400),
         (routes, weights(Value::Object(many)), 413),
-        (routes, with("by", json!("x".repeat(2 << 20))), 413),
+        (routes, with("by", json!("x".repeat(5 << 20))), 413),
         (reports, "garbage".into(), 400),
         (reports, report(""), 400),
         (reports, report("p1").replace("\"alive\":1", "\"alive\":1,\"colour\":1"), 400),
