Break the import circle between replay's model and conditions

Need: `conditions` took the kinds of failure from `model`, which takes the conditions.

Change: the kinds that both need are in a module of their own, `failure`. Nothing else changes.

--- a/src/replay/conditions.rs
+++ b/src/replay/conditions.rs
@@ -2,7 +2,7 @@
 //! played as they were, whatever the table.
 
 use super::Reply;
-use super::model::KINDS;
+use super::failure::FAILURES;
 use super::records::Records;
 
 const WINDOW: f64 = 2000.0; // ms
@@ -14,7 +14,7 @@
     /// Latency over that of the whole time.
     pub slow: f64,
     /// Chance of each kind of failure and those before it.
-    pub failing: [f64; KINDS.len()],
+    pub failing: [f64; FAILURES.len()],
 }
 
 pub(super) struct Conditions {
@@ -28,7 +28,7 @@
     answers: f64,
     luck: f64,
     square: f64,
-    failed: [f64; KINDS.len()],
+    failed: [f64; FAILURES.len()],
 }
 
 impl Seen {
@@ -53,7 +53,7 @@
         for (i, c) in r.calls.iter().enumerate() {
             let window = ((c.at / WINDOW).max(0.0) as usize).min(windows - 1);
             let s = &mut seen[c.backend as usize * windows + window];
-            match KINDS.iter().position(|kind| *kind == c.reply) {
+            match FAILURES.iter().position(|kind| *kind == c.reply) {
                 // One that was given up before others were answered may just have been long.
                 Some(_) if c.reply == Reply::Timeout && c.wait < longest[usize::from(c.class)] => continue,
                 Some(kind) => s.failed[kind] += 1.0,
@@ -92,7 +92,7 @@
 
 /// The shares that failed, `all`'s weighing as so many calls.
 fn condition(s: &Seen, all: &Seen, weight: f64) -> Condition {
-    let (mut failing, mut sum) = ([0.0; KINDS.len()], 0.0);
+    let (mut failing, mut sum) = ([0.0; FAILURES.len()], 0.0);
     for (kind, below) in failing.iter_mut().enumerate() {
         let usual = all.failed[kind] / all.calls.max(1.0);
         sum += (s.failed[kind] + weight * usual) / (s.calls + weight);
@@ -102,7 +102,7 @@
 }
 
 fn judge(s: &Seen, all: &Seen, usual: &Condition) -> Condition {
-    let share = usual.failing[KINDS.len() - 1];
+    let share = usual.failing[FAILURES.len() - 1];
     let failed: f64 = s.failed.iter().sum();
     let chance = (s.calls * share * (1.0 - share) + 1.0).sqrt();
     let mut found = *usual;
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -5,6 +5,7 @@
 mod clocks;
 mod columns;
 mod conditions;
+mod failure;
 mod flight;
 mod growth;
 mod job;
--- a/src/replay/model.rs
+++ b/src/replay/model.rs
@@ -2,6 +2,7 @@
 //! the zones, its class's mean, its backend's speed, the growth with the fleet's calls in flight there, and luck.
 
 use super::conditions::{Condition, Conditions};
+use super::failure::FAILURES;
 use super::growth::Growth;
 use super::quantiles::{Luck, Quantiles};
 use super::records::{Call, Records};
@@ -14,8 +15,6 @@
 const MOST_POINTS: usize = 20_000; // that a growth is fitted to
 const LEAST_FULL: usize = 20; // refusals from which a backend's capacity is known
 const FAR: usize = 30; // calls from which a way between zones is known
-pub(super) const KINDS: [Reply; 5] =
-    [Reply::Error, Reply::Full, Reply::ConnectFailed, Reply::Reset, Reply::Timeout];
 
 /// A class at a backend.
 struct Kind {
@@ -146,7 +145,7 @@
                 Kind { mean: class_means[class] * speeds[k], shape }
             })
             .collect();
-        let failed_after = KINDS
+        let failed_after = FAILURES
             .map(|kind| Quantiles::of(r.calls.iter().filter(|c| c.reply == kind).map(|c| c.wait).collect()));
         let mut seen = vec![0.0_f64; backends];
         r.calls
@@ -186,7 +185,7 @@
         }
         let condition: &Condition = self.conditions.at(ask.backend, ask.at);
         if let Some(kind) = condition.failing.iter().position(|&below| fails < below) {
-            return (KINDS[kind], self.failed_after[kind].at(takes).max(way));
+            return (FAILURES[kind], self.failed_after[kind].at(takes).max(way));
         }
         let kind = &self.kinds[ask.backend * self.classes + ask.class];
         let growth = self.growth[ask.backend].at(ask.flight);
