Take in 16,384 members and read lists of proxies of 8 MiB

Need: a cluster of 4,100 proxies was four above the members that are taken in, and its list 1.03 MB where names and zones are long, of 1 MiB that were read. Over the first a newcomer was dropped and only counted.

Change: both are above 10,000 with their memory in their doc comments; the first newcomer that is not taken in is logged with what to do. The bound counts who asks: members that members tell of come in past it, which the comment now says.

--- a/src/client/discovery/ask.rs
+++ b/src/client/discovery/ask.rs
@@ -13,7 +13,8 @@
 /// How long a watch waits for a change. A watch may fall silent, which shows only by its wait; news counts as
 /// told 6 s on at the latest, so that even three silent watches in a row must be noticed well before that.
 const WAIT: Duration = Duration::from_secs(1);
-/// Longest list.
+/// Longest list, in bytes: 59,000 backends with names of 20 bytes, 9,300 with the longest names, zones and classes (computed).
+/// A larger one would take a good part of a proxy's memory for the time of one answer.
 const MAX_LIST: usize = 8 << 20;
 
 /// Asks for the whole list first, then watches from the version that is held; after a failure it asks without waiting.
--- a/src/client/membership/listing.rs
+++ b/src/client/membership/listing.rs
@@ -20,8 +20,9 @@
 const TTL: Duration = Duration::from_secs(30);
 /// A registry that takes longer is left for the next one.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// Longest list.
-const MAX_LIST: usize = 1 << 20;
+/// Longest list, in bytes: 33,500 proxies with the longest names and zones, 64,500 with short ones (computed). Each is
+/// held for the time of one answer.
+const MAX_LIST: usize = 8 << 20;
 const PATH: &str = "/registry/instances";
 
 /// Registers and reads for ever, at the first registry that answers.
--- a/src/client/membership/mod.rs
+++ b/src/client/membership/mod.rs
@@ -136,7 +136,15 @@
             Ok(from) => drop(self.heard.borrow_mut().insert(from.addr, Instant::now())),
             Err(Dropped::Garbage) => traffic.garbage += 1,
             Err(Dropped::OtherCluster) => traffic.other_cluster += 1,
-            Err(Dropped::TooMany) => traffic.too_many_members += 1,
+            Err(Dropped::TooMany) => {
+                if traffic.too_many_members == 0 {
+                    let most = swim::MAX_MEMBERS;
+                    warn!(
+                        "membership: {most} members are known, no more are taken in; give each tier its own cluster"
+                    );
+                }
+                traffic.too_many_members += 1;
+            }
         }
         self.traffic.set(traffic);
     }
--- a/src/client/membership/swim/mod.rs
+++ b/src/client/membership/swim/mod.rs
@@ -25,8 +25,10 @@
 
 /// Longest name, as for a DNS label.
 pub const MAX_NAME: usize = 63;
-/// More members than this are not taken in.
-pub const MAX_MEMBERS: usize = 4096;
+/// Nobody who asks is taken in beside so many: it bounds what strangers can add. Members that members tell of come in still.
+/// So many with short names take 11 MB (measured as the resident memory of `limits::as_many_members_...` over that of another
+/// test of its file).
+pub const MAX_MEMBERS: usize = 16_384;
 
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,7 +1,9 @@
 //! Limits of the library at their border and one over: what fits is whole, and what does not is refused with what to do.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use turnshift::api::Arrival;
+use turnshift::client::membership::swim::{Dropped, Id, MAX_MEMBERS, Swim, Timing};
 use turnshift::replay::*;
 use turnshift::routes::*;
 
@@ -143,3 +145,35 @@
     }
     assert_eq!(control.report(NOW, with(MAX_REPORTED, MAX_WITNESSED)), Ok(()));
 }
+
+fn member(n: usize) -> Swim {
+    let addr = SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 7946));
+    let id = Id { addr, generation: 1, name: format!("n{n}"), zone: "z".into() };
+    Swim::new(id, &Timing::default(), "tier", n as u64)
+}
+
+/// The datagram by which a process asks another one to be taken in.
+fn asks(n: usize, of: &Swim) -> Vec<u8> {
+    let mut newcomer = member(n);
+    newcomer.announce(of.id().addr);
+    newcomer.next_datagram().expect("it asks").1
+}
+
+#[test]
+fn as_many_members_as_may_be_are_taken_in_and_one_more_is_not() {
+    const { assert!(MAX_MEMBERS > FLEET) };
+    let mut swim = member(0);
+    for n in 1..=MAX_MEMBERS {
+        let from = swim.receive(&asks(n, &swim)).expect("taken in");
+        assert_eq!(from.name, format!("n{n}"));
+        // What follows upon it is somebody else's.
+        while swim.next_datagram().is_some() || swim.next_timer().is_some() || swim.news().is_some() {}
+    }
+    assert_eq!(swim.members().count(), MAX_MEMBERS);
+    assert_eq!(swim.receive(&asks(MAX_MEMBERS + 1, &swim)), Err(Dropped::TooMany));
+    assert_eq!(swim.members().count(), MAX_MEMBERS);
+    for n in [1, MAX_MEMBERS] {
+        assert!(swim.receive(&asks(n, &swim)).is_ok(), "who is known is heard still");
+    }
+    assert_eq!(swim.count().alive as usize, MAX_MEMBERS + 1);
+}
--- a/tests/membership/members.rs
+++ b/tests/membership/members.rs
@@ -1,8 +1,10 @@
 //! Members that end, stop and are found.
 
 use super::{Fleet, JOINED, LOOK, PROBE, SUSPICION, detected_within, quick, view};
-use crate::registry_rig::{Registry, data_dir, names};
+use crate::registry_rig::{Registry, data_dir, entry, names};
+use crate::waits::soon;
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -70,3 +72,31 @@
     }
     fleet.until(&[0, 1], JOINED, "both stay", |v| v.alive == 2).await;
 }
+
+/// A registry lists ten thousand proxies, all at one place under the longest names: the list is read, and that place is
+/// asked. One that is longer than a list may be is said, and calls go on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_list_of_ten_thousand_proxies_is_read_and_one_that_is_too_long_is_said() {
+    const WRITE: usize = 10_000;
+    for (writes, too_long) in [(1, false), (4, true)] {
+        let registry = Registry::start(&data_dir(&format!("listed-{writes}")), &[]).await;
+        let place = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        let at = place.local_addr().expect("bound");
+        for write in 0..writes {
+            let listed = |n: usize| {
+                let mut entry = entry(&format!("{n:0>63}"), at, "SERVING");
+                entry["site"] = "z".repeat(63).into();
+                entry
+            };
+            registry.put(600_000, (write * WRITE..(write + 1) * WRITE).map(listed).collect()).await;
+        }
+        let mut fleet = Fleet::found_by(1, quick(), Some(registry.address)).await;
+        if too_long {
+            fleet.proxies[0].notes("length limit").await;
+        } else {
+            let mut datagram = [0; 2048];
+            assert!(soon(place.recv_from(&mut datagram)).await.expect("a datagram").0 > 0);
+        }
+        assert_eq!(fleet.proxies[0].call("look").await, (200, "a".into()));
+    }
+}
