--- a/src/bin/registry/http/answer.rs
+++ b/src/bin/registry/http/answer.rs
@@ -52,7 +52,7 @@
     match body {
         Ok(body) => Ok(body.to_bytes()),
         Err(e) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, format!("at most {most} bytes")))
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, format!("at most {most} bytes; send less at once")))
         }
         Err(e) => Err(refuse(StatusCode::BAD_REQUEST, e)),
     }
--- a/src/bin/registry/http/written.rs
+++ b/src/bin/registry/http/written.rs
@@ -26,7 +26,10 @@
             refuse(StatusCode::CONFLICT, "not held, or no longer, by this holder with this token")
         }
         Ok(Err(Failed::Lease(Refused::TooMany))) => {
-            refuse(StatusCode::SERVICE_UNAVAILABLE, "too many duties are held")
+            refuse(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "as many duties are held as can be; release some, or wait until their leases end",
+            )
         }
         Ok(Err(Failed::Fenced)) => {
             refuse(StatusCode::CONFLICT, "fence: not the token of the duty's present holder")
