--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,9 +76,11 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+mod backends;
 mod balancer;
 pub mod catalog;
 pub mod client;
+mod ordered;
 pub mod replay;
 pub mod routes;
 pub mod settings;
