Let cold backends get calls before any rate of answers is known

Cause: what a copy may send to a cold backend grows with the rate that warm members have proved to bear. Where a whole tier and all its proxies start at once nobody is warm, so the rate stays 0 and no call goes out until the list's time for warming is over (the initial parts of a call never reach a whole one).

Change: the rate is at least one answer at a time: one over the mean latency, divided among all copies. One answer that took the longest aim is counted into that mean, so that the quick first ones do not decide it.

The new test fails without the floor.

--- a/src/balancer/housekeep.rs
+++ b/src/balancer/housekeep.rs
@@ -47,7 +47,9 @@
         self.borne += (bears - self.borne) * (passed / BORNE[usize::from(bears < self.borne)]).min(1.0);
         // Each backend is in the subsets of so large a part of the copies.
         let part = self.subset.len().max(1) as f64 / self.ring.len().max(1) as f64;
-        let each = self.borne * margin * passed / (self.beside * part);
+        // Before any rate is known a member surely gives one answer in the time that one takes; all copies share that.
+        let serial = part / (self.limiter.serial() * self.fleet);
+        let each = self.borne.max(serial) * margin * passed / (self.beside * part);
         let mut hung = Vec::new();
         for id in &self.subset {
             let Some(b) = self.backends.get_mut(id) else { continue };
--- a/src/balancer/limiter.rs
+++ b/src/balancer/limiter.rs
@@ -31,6 +31,15 @@
 }
 
 impl Limiter {
+    /// Time in which a member surely gives an answer when it has one call at a time: the mean latency, with one answer
+    /// that took the longest aim counted in, so that the first ones, which are the quick ones, do not decide it.
+    pub(super) fn serial(&self) -> f64 {
+        let longest = self.classes.iter().map(|c| c.aim).fold(1.0, f64::max);
+        let (waited, answers) =
+            self.classes.iter().fold((longest, 1.0), |(w, n), c| (w + c.mean * c.samples, n + c.samples));
+        (waited / answers).max(1.0)
+    }
+
     pub(super) fn update(&mut self, passed: f64, warm: f64) {
         self.elapsed += passed;
         self.warm = self.warm.max(warm);
