--- a/src/balancer/health.rs
+++ b/src/balancer/health.rs
@@ -1,8 +1,7 @@
 //! What outcomes say of a backend and of the limit, and who is out of service.
 
 use super::Balancer;
-use super::limiter::CLIP;
-use super::limiter::WINDOW;
+use super::limiter::{CLIP, WINDOW};
 use crate::api::*;
 use crate::state::Backend;
 
--- a/src/balancer/housekeep.rs
+++ b/src/balancer/housekeep.rs
@@ -45,7 +45,9 @@
             (rate - self.member_rate) * (passed / LEARN_MS[usize::from(rate < self.member_rate)]).min(1.0);
         // Each backend is in the subsets of so large a part of the copies.
         let part = self.subset.len().max(1) as f64 / self.roster.members.len().max(1) as f64;
-        let each = self.member_rate * margin * passed / (self.processes * part);
+        // Before a rate is known, a member surely gives one answer after the other to all copies together.
+        let serial_rate = part / (self.limiter.answer_time() * self.fleet);
+        let each = self.member_rate.max(serial_rate) * margin * passed / (self.processes * part);
         // Warm ones need none.
         let seated = |&(_, part, rank): &(_, usize, usize)| {
             self.segments[part].seat(rank, self.roster.parts[part].len()).is_some()
--- a/src/balancer/limiter.rs
+++ b/src/balancer/limiter.rs
@@ -31,6 +31,12 @@
 }
 
 impl Limiter {
+    /// Mean time of an answer, with one that took the longest aim counted in: the first are the quick ones.
+    pub(super) fn answer_time(&self) -> f64 {
+        let longest = self.classes.iter().map(|c| c.aim).fold(1.0, f64::max);
+        let waited = self.classes.iter().map(|c| c.mean * c.samples).sum::<f64>() + longest;
+        (waited / (1.0 + self.classes.iter().map(|c| c.samples).sum::<f64>())).max(1.0)
+    }
     pub(super) fn update(&mut self, passed: f64, warm: f64) {
         self.elapsed += passed;
         self.warm = self.warm.max(warm);
