Let proxies call a lost registry less and less often, and spread their return

Cause: a client whose call fails calls again every 133 to 266 ms for ever (Rotation's pauses in discovery), and beside a call that is late a further one goes out every 200 ms. By those pauses 4,100 proxies make some 20,000 calls a second on a registry that has just come back, and more beside the late ones.

Change: discovery_backoff.max_ms. Pauses double up to it, with up to as much again by chance; so do the times between the calls that go out beside a late one, which go on from one late call to the next until something is answered. The time of a silent call counts as a part of the pause behind it. 2000 by default in the TOML file: 4,100 proxies then make some 1,400 calls a second, and each calls within 4 s, so that a change is in force 6 s after the registry can be reached. Several addresses share that time. Under RELAY_CONFIG nothing changes unless the key is there, as with list_guard: what the platform's agent has counts at once.

--- a/src/bin/heathroad/config/file.rs
+++ b/src/bin/heathroad/config/file.rs
@@ -2,6 +2,7 @@
 
 use crate::recorder;
 use serde::Deserialize;
+use turnshift::client::discovery::Backoff;
 use turnshift::client::list::Page;
 use turnshift::client::{membership, routes};
 
@@ -17,6 +18,7 @@
     pub(super) known: Option<Page>,
     pub(super) settings: serde_json::Value,
     pub(super) list_guard: Option<Guard>,
+    pub(super) discovery_backoff: Option<Backoff>,
     pub(super) membership: Option<membership::Settings>,
     pub(super) routes: Option<routes::Settings>,
     pub(super) record: Option<recorder::Settings>,
@@ -35,6 +37,8 @@
     pub(super) settings: serde_json::Value,
     #[serde(default)]
     pub(super) list_guard: Guard,
+    #[serde(default)]
+    pub(super) discovery_backoff: Backoff,
     pub(super) membership: Option<membership::Settings>,
     pub(super) routes: Option<routes::Settings>,
     pub(super) record: Option<recorder::Settings>,
--- a/src/bin/heathroad/config/mod.rs
+++ b/src/bin/heathroad/config/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use turnshift::api::ListGuard;
+use turnshift::client::discovery::Backoff;
 use turnshift::client::list::Page;
 use turnshift::client::registry::MAX_REGISTRIES;
 use turnshift::client::service::ServiceName;
@@ -30,6 +31,8 @@
     pub discovery: Vec<SocketAddr>,
     /// The service whose backends it calls, where registries tell services apart.
     pub service: Option<ServiceName>,
+    /// How seldom discovery is asked while it cannot be reached; without it, and under the platform's protocol, often.
+    pub discovery_backoff: Option<Backoff>,
     /// Where operators call, if anywhere.
     pub ops: Option<SocketAddr>,
     /// Seed of the module's random numbers.
@@ -108,6 +111,9 @@
     if let Some(what) = check::wrong(file.limits.sockets, &facts) {
         return Err(Error::Value(what));
     }
+    if let Some(why) = file.discovery_backoff.as_ref().and_then(Backoff::invalid) {
+        return Err(Error::Value(format!("discovery_backoff.{why}")));
+    }
     if let Some(why) = file.membership.as_ref().and_then(membership::Settings::invalid) {
         return Err(Error::Value(format!("membership.{why}")));
     }
@@ -132,6 +138,7 @@
         ops,
         listen,
         service,
+        discovery_backoff: file.discovery_backoff,
         discovery: addresses(discovery.or(file.discovery))?,
         seed: u64::from_str_radix(&file.seed, 16)?,
         sockets: file.limits.sockets,
--- a/src/bin/heathroad/config/origin.rs
+++ b/src/bin/heathroad/config/origin.rs
@@ -54,6 +54,7 @@
             known: None,
             settings: own.settings,
             list_guard: Some(own.list_guard),
+            discovery_backoff: Some(own.discovery_backoff),
             membership: own.membership,
             routes: own.routes,
             record: own.record,
--- a/src/client/discovery/ask.rs
+++ b/src/client/discovery/ask.rs
@@ -1,6 +1,7 @@
 //! One call for the list, and the further ones (hedges) while it stays without an answer.
 
 use super::Settings;
+use super::pace::Hedges;
 use super::source::Source;
 use crate::client::list::Page;
 use crate::client::registry::{Call, Fault, Link, call};
@@ -20,26 +21,27 @@
 const MAX_LIST: usize = 8 << 20;
 
 /// Asks for the whole list first, then watches from the version that is held; after a failure it asks without waiting.
-/// A call that is late by `hedge_after` may never be answered, even by an agent that is back: from then on another is out
+/// A call that is late by the first of `hedges` may never be answered, even by an agent that is back: from then on another is out
 /// too, a new one each time, and the first whole answer counts. The first call has its full time, however slow all is.
 pub(super) async fn ask(
     link: &mut Option<Link>,
     source: &Source,
     settings: &Settings,
+    hedges: &mut Hedges,
 ) -> Result<Page, Fault> {
-    let (address, after, hedge_after) = (source.address(), source.after(), settings.pace.hedge_after);
+    let (address, after) = (source.address(), source.after());
     let wait = if after.is_none() || source.failing() { Duration::ZERO } else { WAIT };
     let first = one(link.take(), address, after, wait, settings);
     let others = async {
-        sleep(wait + hedge_after).await;
+        sleep(wait + hedges.next_interval()).await;
         loop {
-            let begun = Instant::now();
+            let (begun, interval) = (Instant::now(), hedges.next_interval());
             if let Ok(Ok(answer)) =
-                timeout(hedge_after, one(None, address, after, Duration::ZERO, settings)).await
+                timeout(interval, one(None, address, after, Duration::ZERO, settings)).await
             {
                 return answer;
             }
-            sleep_until(begun + hedge_after).await;
+            sleep_until(begun + interval).await;
         }
     };
     let (page, kept) = tokio::select! {
--- a/src/client/discovery/mod.rs
+++ b/src/client/discovery/mod.rs
@@ -7,10 +7,9 @@
 mod source;
 
 pub use listener::Listener;
-pub use pace::Pace;
+pub use pace::{Backoff, Pace};
 
 use crate::api::ListKind;
-use crate::client::registry::Fault;
 use crate::client::service::ServiceName;
 use crate::client::traffic::Traffic;
 use absent::AbsentService;
@@ -71,8 +70,10 @@
     listed: &mut Option<oneshot::Sender<()>>,
 ) {
     let pace = settings.pace;
+    let pauses = pace.pauses(addresses.len());
     let mut absent = AbsentService::default();
-    let (mut source, mut link) = (Source::new(addresses, pace.pauses), None);
+    let (mut source, mut link) = (Source::new(addresses, pauses), None);
+    let mut hedges = pace.hedges();
     loop {
         if pace.must_ask && !*wanted.borrow_and_update() {
             if wanted.changed().await.is_err() {
@@ -84,9 +85,10 @@
             source.held = None;
         }
         let (asked, after) = (Instant::now(), source.after());
-        let answer = ask(&mut link, &source, settings).await;
+        let answer = ask(&mut link, &source, settings, &mut hedges).await;
         match answer.and_then(|page| source.accept(&page).map(|()| page)) {
             Ok(page) => {
+                hedges.answered();
                 if let (Some(service), true) = (&settings.service, page.whole) {
                     absent.heard(service, page.hosts.is_empty());
                 }
@@ -116,10 +118,7 @@
                     listener.list_failed();
                 }
                 let pause = source.failed(&fault);
-                // Silence has been a pause by itself, and no call is out now.
-                if pace.must_ask || !matches!(fault, Fault::Silent) {
-                    sleep(pause).await;
-                }
+                sleep(pace.rest(pause, &fault, asked.elapsed())).await;
             }
         }
     }
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -205,3 +205,17 @@
     }
     served.join_all().await;
 }
+
+#[tokio::test]
+async fn a_backoff_that_cannot_be_used_ends_the_start() {
+    for (backoff, names) in [
+        (json!({"max_ms": 0}), "discovery_backoff.max_ms"),
+        (json!({"max_ms": 60_001}), "discovery_backoff.max_ms"),
+        (json!({"max_ms": -1}), "discovery_backoff.max_ms"),
+        (json!({"most_ms": 2000}), "discovery_backoff"),
+    ] {
+        let mut config = config();
+        config["discovery_backoff"] = backoff;
+        fails(&config.to_string(), names).await;
+    }
+}
--- /dev/null
+++ b/tests/registry_return/main.rs
@@ -0,0 +1,53 @@
+//! A registry that is gone for some seconds and comes back, with its data or without, while many clients follow it.
+
+#[path = "../client_rig/mod.rs"]
+mod client_rig;
+#[path = "../fault_relay/mod.rs"]
+mod fault_relay;
+mod outage;
+#[path = "../registry_rig/mod.rs"]
+mod registry_rig;
+#[path = "../rig/mod.rs"]
+mod rig;
+mod storm;
+#[path = "../waits/mod.rs"]
+mod waits;
+
+use crate::rig::{Proxy, settings, soon};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use turnshift::client::discovery::{Backoff, Pace, Settings};
+use turnshift::client::traffic::Traffic;
+
+const TTL: u64 = 600_000;
+/// The longest pause of the clients and proxies here, before chance adds up to as much again.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+
+/// So many clients that follow the list at an address, under a backoff.
+fn clients(count: usize, at: SocketAddr) -> Vec<client_rig::Client> {
+    let backoff = Backoff { max_ms: MAX_PAUSE.as_millis() as u64 };
+    let pace = Pace::new(false, Duration::from_millis(500)).with_backoff(backoff);
+    let client = |_| client_rig::Client::start(at, Settings::new(pace, Traffic::default()));
+    (0..count).map(client).collect()
+}
+
+/// A proxy under the same backoff, which doubts a list that loses nearly all.
+async fn proxy(at: SocketAddr) -> Proxy {
+    let config: Value = json!({
+        "listen": "127.0.0.1:0", "ops": "127.0.0.1:0", "discovery": at.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"memory_mb": 192, "sockets": 256}, "settings": settings(),
+        "discovery_backoff": {"max_ms": MAX_PAUSE.as_millis() as u64},
+        "list_guard": {"panic_threshold": 0.1, "hold_ms": 600_000},
+    });
+    let proxy = Proxy::start_as(&config, "exec \"$0\"").await;
+    soon(async { while proxy.ready().await != 200 {} }).await;
+    proxy
+}
+
+/// Waits until all clients hold just these backends.
+async fn all_hold(clients: &[client_rig::Client], names: &[&str]) {
+    for client in clients {
+        soon(client.holds(names)).await;
+    }
+}
