Play a registry that comes back with an empty disk before 80 clients and 3 proxies

Need: machines are replaced, and then the disk is gone.

Test: real registry, kill -9, an outage of 8 s, another registry on an empty directory at the same address. Meanwhile and after it every call through the proxies is served, both backends stay in service (list_guard); no client calls more often than its backoff allows, they return one by one, each is given one whole list more and no other; once the backends have registered anew all clients hold them, and the proxies believe the list again.

--- a/tests/registry_return/main.rs
+++ b/tests/registry_return/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../client_rig/mod.rs"]
 mod client_rig;
+mod empty_disk;
 #[path = "../fault_relay/mod.rs"]
 mod fault_relay;
 mod outage;
