--- a/tests/agent_rig/mod.rs
+++ b/tests/agent_rig/mod.rs
@@ -2,6 +2,10 @@
 //! down it never answers, and a call that it got then stays without an answer for ever.
 #![allow(dead_code)]
 
+mod say;
+
+pub use say::Say;
+
 use crate::rig::soon;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
@@ -11,30 +15,9 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// What becomes of one call.
-#[derive(Debug, Clone)]
-pub enum Say {
-    /// Nothing comes, and the connection stays.
-    Nothing,
-    /// The connection is reset.
-    Reset,
-    /// Half of an answer, then the connection ends.
-    Half,
-    /// A proper list, a byte at a time.
-    Trickle,
-    /// The list, once told to.
-    Late(Arc<Notify>),
-    /// An answer with this text.
-    Text(String),
-    /// The connection ends in order, with no answer, once there is news.
-    EndAtNews,
-    /// An HTTP answer as it stands, a byte at a time without pauses; the connection ends if it says so.
-    Bytes(String),
-}
-
 /// A call for the list.
 #[derive(Debug, Clone)]
 pub struct Call {
