Look only at what may be leaving when one entry of the list changes

Cause: after each change of the list the proxy went through all backends: `forget_gone` asked the module for each target and each name, `census` was counted twice for the number of doubted ones, and with a route table or a recorder `observe_list` asked for all standings, each of which searched the subset from its start. `State::id` compared a new name's number with all others', so that a first list cost the square of its length. With a route table every change of the list also told the module all weights anew.

Change: numbers and names are held both ways. Only backends that a list has just named, or that drain or are withdrawn, are asked for; a whole list asks for all, as before. The module tells how many it doubts, and whether it lists a backend. Weights are told anew only if the list brings one that the module has not heard of.

Shown: tests/unit/heathroad/engine/state.rs for what is let go of and what is looked at; the tests of the proxy, of discovery and of its route tables pass as they are.

--- a/src/bin/heathroad/engine/list.rs
+++ b/src/bin/heathroad/engine/list.rs
@@ -16,19 +16,27 @@
             let s = &mut *self.state.borrow_mut();
             hosts.into_iter().filter_map(|h| self.entry(s, h)).collect()
         };
-        let before = self.census().unlisted;
+        let before = self.unlisted();
         self.weigh_newcomers();
         self.tell(Event::List { kind, entries });
-        self.state.borrow_mut().forget_gone();
+        self.state.borrow_mut().forget_gone(kind);
         self.observe_list(version);
+        if (before == 0) == (self.unlisted() == 0) {
+            return;
+        }
         let Census { listed, unlisted, .. } = self.census();
-        if unlisted > 0 && before == 0 {
+        if unlisted > 0 {
             warn!("discovery: {unlisted} of {listed} backends stay in service though the list lacks them");
-        } else if unlisted == 0 && before > 0 {
+        } else {
             info!("discovery: the list is believed again, {listed} backends");
         }
     }
 
+    /// How many backends stay in service though the list lacks them.
+    fn unlisted(&self) -> usize {
+        self.state.borrow().balancer.unlisted()
+    }
+
     /// Whether the whole list is wanted anew; asked once.
     pub fn wants_whole_list(&self) -> bool {
         self.relist.take()
@@ -42,6 +50,7 @@
 
     fn entry(&self, s: &mut State, h: Host) -> Option<Entry> {
         let backend = s.id(&h.host);
+        s.leaving.insert(backend);
         let phase = match h.health {
             Health::Serving => Phase::Ready,
             Health::Draining => Phase::Draining,
--- a/src/bin/heathroad/engine/mod.rs
+++ b/src/bin/heathroad/engine/mod.rs
@@ -19,7 +19,7 @@
 use request::Life;
 use state::State;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
@@ -54,6 +54,8 @@
         let state = State {
             balancer: Balancer::new(facts.settings.clone(), seed)?,
             ids: HashMap::new(),
+            names: HashMap::new(),
+            leaving: HashSet::new(),
             targets: HashMap::new(),
             requests: HashMap::new(),
             next: 1,
--- a/src/bin/heathroad/engine/observe.rs
+++ b/src/bin/heathroad/engine/observe.rs
@@ -2,7 +2,6 @@
 
 use super::Engine;
 use hyper::header::HeaderValue;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -45,15 +44,15 @@
 
     /// Those that a list names have their weights before the module hears of them.
     pub(super) fn weigh_newcomers(self: &Rc<Self>) {
-        if let Some(observer) = self.observer.as_ref().filter(|observer| !observer.even()) {
+        if let Some(observer) = self.observer.as_ref().filter(|observer| observer.untold()) {
             self.tell(Event::Weights { weights: observer.weights() });
         }
     }
 
     pub(super) fn observe_list(&self, version: u64) {
         let Some(observer) = &self.observer else { return };
-        let known: HashSet<BackendId> = self.standings().into_iter().map(|(backend, _)| backend).collect();
-        observer.keep(self.now(), version, |backend| known.contains(&backend));
+        let state = self.state.borrow();
+        observer.keep(self.now(), version, |backend| state.balancer.lists(backend));
     }
 
     pub(super) fn observe_arrival(&self, id: Option<HeaderValue>, arrival: &Arrival, patience: Duration) {
--- a/src/bin/heathroad/engine/state.rs
+++ b/src/bin/heathroad/engine/state.rs
@@ -2,16 +2,20 @@
 
 use super::request::{Answer, Open};
 use crate::backend::{Pool, Target};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use tokio::time::Instant;
-use turnshift::api::{Action, BackendId, Event, RequestId};
+use turnshift::api::{Action, BackendId, Event, ListKind, RequestId};
 use turnshift::{Balancer, backend_id};
 
 pub(super) struct State {
     pub(super) balancer: Balancer,
     pub(super) ids: HashMap<String, BackendId>,
+    /// The same the other way round.
+    pub(super) names: HashMap<BackendId, String>,
+    /// Those that the module may come to know no longer.
+    pub(super) leaving: HashSet<BackendId>,
     pub(super) targets: HashMap<BackendId, Rc<Target>>,
     pub(super) requests: HashMap<RequestId, Open>,
     pub(super) next: RequestId,
@@ -33,22 +37,43 @@
             return id;
         }
         let mut id = backend_id(host);
-        while self.ids.values().any(|&taken| taken == id) {
+        while self.names.contains_key(&id) {
             id = id.wrapping_add(1);
         }
         self.ids.insert(host.to_string(), id);
+        self.names.insert(id, host.to_string());
         id
     }
 
     /// Lets go of backends that the module knows no longer: machines come under new names for as long as the
-    /// process runs. One that comes back gets its number anew, from its name.
-    pub(super) fn forget_gone(&mut self) {
-        self.targets.retain(|&id, _| self.balancer.knows(id));
-        self.ids.retain(|_, &mut id| self.balancer.knows(id));
+    /// process runs. One that comes back gets its number anew, from its name. After changes it is enough to look at
+    /// those that were leaving, after a whole list at all.
+    pub(super) fn forget_gone(&mut self, kind: ListKind) {
+        if kind != ListKind::Delta {
+            self.leaving.extend(self.names.keys());
+        }
+        for id in std::mem::take(&mut self.leaving) {
+            if self.balancer.knows(id) {
+                // Only what may end without any further word of it is looked at again.
+                if !self.balancer.lists(id) || self.drained(id) {
+                    self.leaving.insert(id);
+                }
+                continue;
+            }
+            self.targets.remove(&id);
+            if let Some(name) = self.names.remove(&id) {
+                self.ids.remove(&name);
+            }
+        }
+    }
+
+    fn drained(&self, id: BackendId) -> bool {
+        self.targets.get(&id).is_none_or(|target| target.drained.get().is_some())
     }
 
     /// Nothing new goes to a backend from now on.
     pub(super) fn withdraw(&mut self, backend: BackendId, pool: &Pool) {
+        self.leaving.insert(backend);
         if let Some(target) = self.targets.get(&backend).filter(|t| t.drained.get().is_none()) {
             target.drained.set(Some(Instant::now()));
             pool.close(target.dial);
@@ -68,3 +93,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../../../tests/unit/heathroad/engine/state.rs"]
+mod tests;
--- a/src/bin/heathroad/routes/observer.rs
+++ b/src/bin/heathroad/routes/observer.rs
@@ -16,6 +16,8 @@
     listed: Listed,
     tally: Tally,
     in_flight: u32,
+    /// The weight that the module was told.
+    told: Option<f64>,
 }
 
 impl Place {
@@ -38,6 +40,7 @@
     places: RefCell<HashMap<BackendId, Place>>,
     table: RefCell<Weights>,
     list_version: Cell<u64>,
+    untold: Cell<bool>,
     recording: OnceCell<Rc<Recording>>,
 }
 
@@ -45,7 +48,8 @@
     /// Knows no backend yet.
     pub fn new() -> Rc<Self> {
         let (places, table, list_version) = (RefCell::default(), RefCell::default(), Cell::default());
-        Rc::new(Observer { places, table, list_version, recording: OnceCell::new() })
+        let (untold, recording) = (Cell::default(), OnceCell::new());
+        Rc::new(Observer { places, table, list_version, untold, recording })
     }
 
     /// From now on all is recorded, too.
@@ -60,9 +64,19 @@
     pub fn listed(&self, id: BackendId, host: &Host) {
         let (class, zone, share) = (host.class.clone(), host.site.clone(), host.share.max(0.0));
         let listed = Listed { host: host.host.clone(), class, zone, share };
-        match self.places.borrow_mut().entry(id) {
-            Entry::Occupied(mut place) => place.get_mut().listed = listed,
-            Entry::Vacant(none) => drop(none.insert(Place { listed, tally: Tally::default(), in_flight: 0 })),
+        let mut places = self.places.borrow_mut();
+        let place = match places.entry(id) {
+            Entry::Occupied(place) => {
+                let place = place.into_mut();
+                place.listed = listed;
+                place
+            }
+            Entry::Vacant(none) => {
+                none.insert(Place { listed, tally: Tally::default(), in_flight: 0, told: None })
+            }
+        };
+        if place.told != Some(place.weight(&self.table.borrow())) {
+            self.untold.set(true);
         }
     }
 
@@ -90,13 +104,19 @@
 
     /// Each backend's weight by the table.
     pub fn weights(&self) -> Vec<(BackendId, f64)> {
-        let (places, table) = (self.places.borrow(), self.table.borrow());
-        places.iter().map(|(id, p)| (*id, p.weight(&table))).collect()
-    }
-
-    /// Whether the table leaves every weight at 1.
-    pub fn even(&self) -> bool {
-        self.table.borrow().iter().next().is_none()
+        let (mut places, table) = (self.places.borrow_mut(), self.table.borrow());
+        self.untold.set(false);
+        let weigh = |(id, place): (&BackendId, &mut Place)| {
+            let weight = place.weight(&table);
+            place.told = Some(weight);
+            (*id, weight)
+        };
+        places.iter_mut().map(weigh).collect()
+    }
+
+    /// Whether the module has yet to hear of a weight that a list or a table brought.
+    pub fn untold(&self) -> bool {
+        self.untold.get() && self.table.borrow().iter().next().is_some()
     }
 
     /// Digest of the weights in force: the table's if they are the table's.
--- /dev/null
+++ b/tests/unit/heathroad/engine/state.rs
@@ -0,0 +1,107 @@
+//! Which backends the engine lets go of, and when.
+
+use super::*;
+use std::cell::Cell;
+use turnshift::api::{Class, Entry, Phase, Settings};
+
+fn state() -> State {
+    let settings = Settings {
+        copies: 1,
+        tick: 5.0,
+        classes: vec![Class { aim: 1.0, ..Class::default() }],
+        ..Settings::default()
+    };
+    State {
+        balancer: Balancer::new(settings, 1).expect("sound settings"),
+        ids: HashMap::new(),
+        names: HashMap::new(),
+        leaving: HashSet::new(),
+        targets: HashMap::new(),
+        requests: HashMap::new(),
+        next: 1,
+        events: VecDeque::new(),
+        actions: Vec::new(),
+    }
+}
+
+impl State {
+    /// What the engine does with a list.
+    fn list(&mut self, kind: ListKind, hosts: &[(&str, Phase)]) {
+        let mut entries = Vec::new();
+        for (host, phase) in hosts {
+            let backend = self.id(host);
+            self.leaving.insert(backend);
+            if *phase == Phase::Ready {
+                let target =
+                    Target { dial: ([127, 0, 0, 1], 1).into(), born_ms: 0.0, drained: Cell::default() };
+                self.targets.insert(backend, Rc::new(target));
+            }
+            entries.push(Entry { backend, phase: *phase, weight: 1.0, ..Entry::default() });
+        }
+        let mut actions = Vec::new();
+        self.balancer.handle(0.0, Event::List { kind, entries }, &mut actions);
+        for action in actions {
+            if let Action::Withdraw { backend } = action {
+                self.leaving.insert(backend);
+                self.targets[&backend].drained.set(Some(Instant::now()));
+            }
+        }
+        self.forget_gone(kind);
+    }
+
+    fn held(&self) -> Vec<&str> {
+        assert_eq!(self.ids.len(), self.names.len());
+        assert!(self.ids.iter().all(|(name, id)| self.names[id] == *name), "both ways alike");
+        let mut held: Vec<&str> = self.ids.keys().map(String::as_str).collect();
+        held.sort_unstable();
+        held
+    }
+}
+
+#[test]
+fn those_that_are_gone_are_let_go_of_and_no_others() {
+    let mut state = state();
+    state.list(ListKind::Full, &[("a", Phase::Ready), ("b", Phase::Ready), ("c", Phase::Draining)]);
+    assert_eq!(state.held(), ["a", "b", "c"]);
+    state.list(ListKind::Delta, &[("a", Phase::Gone), ("d", Phase::Ready)]);
+    assert_eq!(state.held(), ["b", "c", "d"]);
+    state.list(ListKind::Delta, &[("b", Phase::Draining), ("never", Phase::Gone)]);
+    assert_eq!(state.held(), ["b", "c", "d"]);
+    state.list(ListKind::Delta, &[("b", Phase::Gone), ("c", Phase::Gone)]);
+    assert_eq!(state.held(), ["d"]);
+    assert_eq!(state.targets.len(), 1);
+}
+
+#[test]
+fn what_a_whole_list_lacks_is_let_go_of() {
+    let mut state = state();
+    state.list(ListKind::Full, &[("a", Phase::Ready), ("b", Phase::Ready), ("c", Phase::Draining)]);
+    state.list(ListKind::Full, &[("b", Phase::Ready)]);
+    assert_eq!(state.held(), ["b"]);
+    assert_eq!(state.targets.len(), 1);
+}
+
+/// After a change only those are looked at that may be going: not the whole list.
+#[test]
+fn those_that_take_work_are_not_looked_at_again() {
+    let mut state = state();
+    let hosts: Vec<String> = (0..500).map(|n| format!("host-{n}")).collect();
+    let all: Vec<(&str, Phase)> = hosts.iter().map(|host| (host.as_str(), Phase::Ready)).collect();
+    state.list(ListKind::Full, &all);
+    assert!(state.leaving.is_empty(), "{} of 500", state.leaving.len());
+    state.list(ListKind::Delta, &[("host-1", Phase::Draining), ("host-2", Phase::Ready)]);
+    assert_eq!(state.leaving.len(), 1);
+    state.list(ListKind::Delta, &[("host-1", Phase::Ready)]);
+    assert!(state.leaving.is_empty());
+}
+
+#[test]
+fn two_names_never_have_one_number() {
+    let mut state = state();
+    let taken = backend_id("a");
+    state.names.insert(taken, "another".into());
+    state.ids.insert("another".into(), taken);
+    assert_eq!(state.id("a"), taken.wrapping_add(1));
+    assert_eq!(state.id("a"), taken.wrapping_add(1));
+    assert_eq!(state.id("another"), taken);
+}
