Judge the answers of a stop by the program's own clock, before the kill again

Change: `paused` runs the whole program (`run`, with its real configuration, sockets and SIGTERM) beside its callers, backends and discovery in one thread, on a tokio clock that moves on in steps of 5 ms, each only when what was written before has arrived. Both tests stand there in their first form: every answer before 1.0 s after SIGTERM, the end within 5 s. The ones with a started process stay as they are, without a clock. `config::load_with` takes a command line that is parsed already.

--- a/src/bin/heathroad/config/mod.rs
+++ b/src/bin/heathroad/config/mod.rs
@@ -74,7 +74,11 @@
 
 /// Reads the command line, the environment and the file that either names.
 pub fn load() -> Result<Config, Error> {
-    let args = Args::parse();
+    load_with(Args::parse())
+}
+
+/// The same, with a command line that is parsed already.
+pub fn load_with(args: Args) -> Result<Config, Error> {
     let told = |flag: Option<String>, name| flag.or_else(|| env::var(name).ok());
     let origin = Origin::find(&args)?;
     let file = origin.read()?;
--- a/src/bin/heathroad/main.rs
+++ b/src/bin/heathroad/main.rs
@@ -244,3 +244,7 @@
     info!("{what} on {bound}");
     Ok(listener)
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/heathroad/paused/mod.rs"]
+mod paused;
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -170,6 +170,7 @@
 }
 
 /// Whoever comes once all is to be answered has no time left: turned away unsent, since another try is harmless.
+/// (And before the kill: `paused::stops`.)
 #[tokio::test]
 async fn a_request_past_the_last_answer_is_refused_and_reaches_no_backend() {
     let longest = Duration::from_millis(300);
@@ -210,7 +211,7 @@
 }
 
 /// Half of the backends hang just then, and clients go on sending wherever they can up to the kill: all has its answer.
-/// (That it comes before the kill, `standing::where_clients_give_up_early_...` holds against the clock.)
+/// (That it comes before the kill, `paused::stops` judges on the program's own clock.)
 #[tokio::test]
 async fn with_short_deadlines_and_backends_that_hang_all_is_answered() {
     let longest = Duration::from_millis(300);
