--- a/tests/agent_rig/mod.rs
+++ b/tests/agent_rig/mod.rs
@@ -2,7 +2,7 @@
 //! down it never answers, and a call that it got then stays without an answer for ever.
 #![allow(dead_code)]
 
-use crate::rig::soon;
+use super::rig::soon;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -76,32 +76,19 @@
     }
 }
 
-/// The agent falls silent for a while and has news at its return. What it was asked meanwhile is never answered. A
-/// machine that is starved may hold any one return up; a proxy that waits for its open call is late at every one.
+/// The agent falls silent for a while and has news at its return. What it was asked meanwhile is never answered. How
+/// soon the news is known, `paused::returns` judges on the program's own clock.
 #[tokio::test]
-async fn what_an_agent_has_at_its_return_is_known_within_the_grace_whatever_stays_unanswered() {
+async fn what_an_agent_has_at_its_return_is_known_whatever_stays_unanswered() {
     let s = watched("automatic").await;
-    let mut returns = Vec::new();
-    for (drains, serves) in [(&s.a, &s.b), (&s.b, &s.a)].into_iter().cycle().take(8) {
+    for (drains, serves) in [(&s.a, &s.b), (&s.b, &s.a)] {
         s.agent.turn();
-        let (before, outage) = (s.agent.calls().len(), Instant::now());
-        // The third call of the outage has just begun: its time is before it.
-        s.agent.called(before + 3).await;
+        s.agent.called(s.agent.calls().len() + 3).await;
         s.agent.turn();
-        let back = Instant::now();
         s.agent.change(vec![drains.line("DRAINING"), serves.line("SERVING")]);
         s.agent.held().await;
-        let (took, calls) = (back.elapsed(), s.agent.calls());
-        let since = calls.iter().skip(before).map(|call| (call.at - outage, call.after)).collect::<Vec<_>>();
-        let returned = back - outage;
-        assert!(took < TOLD, "known {took:?} after the return at {returned:?} of the outage: {since:?}");
         assert_eq!(s.proxy.call("look").await, (200, serves.name.into()));
-        returns.push(took);
-        if took < GRACE {
-            return;
-        }
     }
-    panic!("known {returns:?} after the returns");
 }
 
 /// Connects that are under way as the agent comes back may come up a second later.
