--- a/tests/agent_rig/mod.rs
+++ b/tests/agent_rig/mod.rs
@@ -6,7 +6,7 @@
 
 pub use say::Say;
 
-use crate::rig::soon;
+use super::rig::soon;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
