Let no program outlive its test, and judge the silent peer's 3 s on the program's own clock

A request without an id at a backend: its origin is a proxy of a test that had ended. `kill_on_drop` sends the signal and waits for nothing, the test's ports are free at once, and until the process dies it asks for its list, without an id, at a port that may be the backend of another test by then. Shown on a scratch copy: a listener bound to the port of a discovery that is gone hears `GET /registry/instances?after=1&wait_ms=1` with a `host` and nothing else. Ruled out: requests that clients of the file send, each of which the proxy gives an id or turns down. Change: the rig's `Proxy` waits, as it is dropped, until the program has ended. The look for an id fails again on a request that has none, and says which one it was.

--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -46,11 +46,10 @@
 }
 
 fn reached(s: &Scene, id: &str) -> bool {
-    s.orders
-        .seen
-        .borrow()
-        .iter()
-        .any(|(_, head, _)| head.headers.get("req-id").is_some_and(|came| came == id))
+    s.orders.seen.borrow().iter().any(|(_, head, _)| match head.headers.get("req-id") {
+        Some(came) => came == id,
+        None => panic!("a backend was asked without an id, by no client of this test: {head:?}"),
+    })
 }
 
 /// Waits until the program has no more descriptors open than so many.
@@ -213,3 +212,14 @@
         assert!(!reached(&s, id), "{id} was read after the end and sent on");
     }
 }
+
+/// What this file asserts of requests that backends saw holds only while no program of an earlier test, which asks for its
+/// list without an id, calls a port that is a backend's by now.
+#[tokio::test]
+async fn a_program_is_gone_once_its_scene_is_dropped() {
+    let s = scene(settings()).await;
+    let process = s.proxy.process();
+    assert!(process.exists());
+    drop(s);
+    assert!(!process.exists(), "it outlives its test");
+}
--- a/tests/rig/proxy.rs
+++ b/tests/rig/proxy.rs
@@ -31,6 +31,18 @@
     path
 }
 
+impl Drop for Proxy {
+    /// Waits for the program's end: one that outlived its test would ask for its list, with a request that has no id, at
+    /// ports that are another test's by then.
+    fn drop(&mut self) {
+        // It fails only where the program has ended.
+        let _ = self.child.start_kill();
+        while matches!(self.child.try_wait(), Ok(None)) {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
 impl Proxy {
     pub async fn start(discovery: &Discovery, settings: Value) -> Self {
         Proxy::start_as(&discovery.config(settings), "exec \"$0\"").await
@@ -119,6 +131,11 @@
         std::fs::write(&self.config, text).expect("the folder for tests takes a file");
     }
 
+    /// The system's directory on the program; there as long as the program is, or is not waited for.
+    pub fn process(&self) -> std::path::PathBuf {
+        format!("/proc/{}", self.child.id().expect("it runs")).into()
+    }
+
     /// How many descriptors the program holds now.
     pub fn descriptors(&self) -> usize {
         let id = self.child.id().expect("it runs");
--- a/tests/unit/heathroad/front.rs
+++ b/tests/unit/heathroad/front.rs
@@ -1,6 +1,59 @@
 //! Unit tests of `src/bin/heathroad/front/mod.rs`, which names this file.
 
 use super::*;
+use crate::backend::{Limits, Pool};
+use std::io::Write;
+use tokio::io::AsyncReadExt;
+use tokio::task::LocalSet;
+
+#[allow(dead_code)]
+#[path = "../../rig/settings.rs"]
+mod settings;
+
+/// Longest that a peer may stand open without a request, as callers are promised.
+const SILENT_PEER: Duration = Duration::from_secs(3);
+
+fn front() -> Rc<Front> {
+    let facts = turnshift::settings::parse(settings::settings().to_string().as_bytes()).expect("sound");
+    let (counters, room) = (Counters::new(facts.site.classes.clone()), Room::new(1 << 20));
+    let processes = watch::Sender::new(1);
+    let limits = Limits {
+        connections: 8,
+        processes: processes.subscribe(),
+        connect: Duration::from_secs(2),
+        idle: Duration::from_secs(60),
+        drain_grace: Duration::from_millis(500),
+        may_duplicate: true,
+    };
+    let pool = Rc::new(Pool::new(limits, counters.attempts(), room.clone()));
+    let engine = Engine::new(facts.clone(), 1, pool, watch::Sender::new(false), None).expect("sound");
+    let (lifecycle, open) = (Rc::new(Lifecycle::new()), Cell::new(0));
+    lifecycle.begin();
+    Rc::new(Front { engine, facts, counters, lifecycle, connections: 8, spare: 1, room, processes, open })
+}
+
+/// On the program's own clock, which is paused here and moves on only when nothing is left to do: a busy machine cannot
+/// make it late.
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_sends_no_request_is_let_go_within_three_seconds() {
+    for begun in ["", "POST /once HTTP/1.1\r\nHost: origin"] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let mut peer = std::net::TcpStream::connect(address).expect("the queue takes it");
+        peer.write_all(begun.as_bytes()).expect("open");
+        peer.set_nonblocking(true).expect("open");
+        let mut peer = TcpStream::from_std(peer).expect("open");
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let (connected, crowd) = (Instant::now(), watch::Sender::new(Crowd::Full));
+        let serving = front().connection(stream, crowd.subscribe(), false);
+        let let_go = async {
+            peer.read_to_end(&mut Vec::new()).await.expect("closed, not reset");
+            connected.elapsed()
+        };
+        let (after, ()) = LocalSet::new().run_until(async { tokio::join!(let_go, serving) }).await;
+        assert!(after < SILENT_PEER, "{begun:?} held for {after:?}");
+    }
+}
 
 /// Closed with its queue full, a listener would reset those who wait in it.
 #[tokio::test]
