Tell the late dial from those that filled the queue, and say why none came

`nothing_is_written_on_a_dial_that_comes_up_as_its_client_leaves` took the connection after so many others for the proxy's dial. Which comes when is up to the system's repeats of each handshake: had the proxy's come before one of those that filled the queue, the test would have waited 30 s for the end of a connection that it holds itself. It goes by the address now.

--- a/tests/client_crossing.rs
+++ b/tests/client_crossing.rs
@@ -5,6 +5,7 @@
 
 use rig::*;
 use rstest::rstest;
+use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Duration, timeout};
@@ -48,6 +49,19 @@
     (discovery, proxy)
 }
 
+/// The next connection; where none comes, the listener's lines in the system's table, with their timers, say why.
+async fn dialled(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    let port = format!(":{:04X}", listener.local_addr().expect("bound").port());
+    match timeout(LONG, listener.accept()).await {
+        Ok(accepted) => accepted.expect("a connection"),
+        Err(_) => {
+            let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+            let lines: Vec<_> = table.lines().filter(|line| line.contains(&port)).collect();
+            panic!("no dial came within {LONG:?}:\n{}", lines.join("\n"));
+        }
+    }
+}
+
 /// A dial comes up late, and its client leaves: before or after that, while the proxy stands still.
 #[rstest]
 #[tokio::test]
@@ -66,10 +80,14 @@
     if !dial_first {
         leave(client.take().expect("here"), resets).await;
     }
-    for _ in &held {
-        soon(listener.accept()).await.expect("the queue's");
-    }
-    let (mut late, _) = soon(listener.accept()).await.expect("the proxy's");
+    let queued: Vec<_> = held.iter().map(|stream| stream.local_addr().expect("open")).collect();
+    let mut late = loop {
+        let (stream, from) = dialled(&listener).await;
+        // Those that filled the queue may come in any order, as their handshakes are repeated.
+        if !queued.contains(&from) {
+            break stream;
+        }
+    };
     if let Some(client) = client {
         leave(client, resets).await;
     }
