Count a cold backend's budget at each call, by its capacity at that instant

The test took N as the mean of the span's two ends, which excuses such a burst by what the backend bears a second or two later. Now each call of a span is judged: what has come since the span began, over two thirds of it from processes that were told, against N at that instant, and never against more than the span's mean, as before.

Not taken: N at the start for the whole span.

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -42,21 +42,31 @@
     (day, fall)
 }
 
-/// The most that a cold backend got in that time, over the budget and what is put down to chance, where over two thirds
-/// came from processes that had been told of its start; and the mean of all such spans over the budget alone.
+/// The most that a cold backend got within that time, over the budget and what is put down to chance, where over two thirds
+/// came from processes that had been told of its start; and the mean over all spans of what they used of the budget alone.
+///
+/// The budget is counted at each call of a span: by the capacity that the backend has at that instant, so that a burst at
+/// the start of a span is not excused by what the backend bears at its end, and never by more than the span's mean.
 fn worst(day: &Day, fall: f64) -> (f64, f64) {
     let seen = play(day);
     let (mut worst, mut spans): (f64, Vec<f64>) = (0.0, Vec::new());
     for sent in &seen.sent {
-        for (i, &Sent { at: from, .. }) in sent.iter().enumerate() {
-            let span = || sent[i..].iter().take_while(|s| s.at < (from + fall).min(day.rules.cold));
-            let present = (day.present(from) + day.present(from + fall)) / 2.0;
-            let n = day.rules.fall_multiple * present * seen.capacity * fall;
-            let (calls, work) = (span().count() as f64, span().map(|s| s.work).sum::<f64>());
-            let told = span().filter(|s| s.told).count() as f64;
+        for (first, &Sent { at: from, .. }) in sent.iter().enumerate() {
+            let allowed = |present: f64| day.rules.fall_multiple * present * seen.capacity * fall;
+            let mean = (day.present(from) + day.present(from + fall)) / 2.0;
+            let until = (from + fall).min(day.rules.cold);
+            let (mut calls, mut work, mut told) = (0.0, 0.0, 0.0);
+            for call in sent[first..].iter().take_while(|call| call.at < until) {
+                calls += 1.0;
+                work += call.work;
+                told += f64::from(u8::from(call.told));
+                let n = allowed(day.present(call.at).min(mean));
+                if told > calls * 2.0 / 3.0 {
+                    worst = worst.max(f64::max(calls, work) / (n + 2.0 * n.sqrt() + 2.0));
+                }
+            }
             if told > calls * 2.0 / 3.0 {
-                spans.push(told / n);
-                worst = worst.max(calls.max(work) / (n + 2.0 * n.sqrt() + 2.0));
+                spans.push(told / allowed(mean));
             }
         }
     }
