--- a/tests/fleet/processes.rs
+++ b/tests/fleet/processes.rs
@@ -96,6 +96,11 @@
         let _ = self.child.start_kill();
     }
 
+    /// Its process id; none once it has ended.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Most memory that it has held, in KB.
     pub fn peak_kb(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id().unwrap_or(0)));
