--- a/tests/services/data.rs
+++ b/tests/services/data.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::Stdio;
+use tokio::process::Command;
 
 /// A record as the log holds it.
 fn frame(payload: &str) -> Vec<u8> {
@@ -121,16 +122,17 @@
 }
 
 /// What a start says that does not come to listen.
-fn refused(data: &Path) -> String {
+async fn refused(data: &Path) -> String {
     let mut command = Command::new(env!("CARGO_BIN_EXE_registry"));
     command.args(["--listen", "127.0.0.1:0", "--data"]).arg(data).stdin(Stdio::null());
-    let output = command.output().expect("the registry runs");
+    // One that does come to listen is ended with the test.
+    let output = soon(command.kill_on_drop(true).output()).await.expect("the registry runs");
     assert!(!output.status.success());
     String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
 }
 
-#[test]
-fn a_record_of_a_later_build_ends_the_start_and_nothing_is_cut() {
+#[tokio::test]
+async fn a_record_of_a_later_build_ends_the_start_and_nothing_is_cut() {
     let later = [
         r#"{"shard":{"of":4}}"#.to_string(),
         r#"{"service":{"name":"a","update":{"split":9}}}"#.to_string(),
@@ -142,7 +144,7 @@
         let data = data_dir(&format!("services-later-{index}"));
         write(&data, "log", &[change(1, "a", "SERVING"), later.clone(), change(4, "d", "SERVING")]);
         let before = std::fs::read(data.join("log")).expect("log");
-        let said = refused(&data);
+        let said = refused(&data).await;
         assert!(said.contains("a later build wrote it: start that one"), "{later}: {said}");
         assert!(said.contains("record 2 "), "{said}");
         assert_eq!(std::fs::read(data.join("log")).expect("log"), before, "{later}");
@@ -150,7 +152,7 @@
     }
     let data = data_dir("services-later-snapshot");
     write(&data, "snapshot", &[r#"{"seq":1,"horizon":0,"changes":[],"shards":[]}"#.to_string()]);
-    let said = refused(&data);
+    let said = refused(&data).await;
     assert!(said.contains("snapshot: ") && said.contains("a later build wrote it"), "{said}");
 }
 
