--- a/tests/pieces.rs
+++ b/tests/pieces.rs
@@ -134,7 +134,7 @@
 async fn an_answer_in_pieces_and_in_any_form_is_passed_on(#[case] text: &str, #[case] end: End) {
     let s = stage(settings()).await;
     let says = text.bytes().map(|byte| (None, vec![byte])).collect();
-    s.script.give([Act { hears: None, says, end }]);
+    s.script.give([Act { hears: None, says, repeats: None, end }]);
     assert_eq!(s.proxy.call("once").await, (200, "good".into()));
     assert_eq!(s.script.on().len(), 1, "one attempt");
 }
@@ -201,7 +201,12 @@
     for class in ["look", "keep", "once"] {
         let (before, declines) = (s.script.on().len(), Arc::new(Notify::new()));
         let declined = "HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
-        let act = Act { hears: None, says: vec![(Some(declines.clone()), declined.into())], end: End::Stay };
+        let act = Act {
+            hears: None,
+            says: vec![(Some(declines.clone()), declined.into())],
+            repeats: None,
+            end: End::Stay,
+        };
         s.script.give([act]);
         let mut caller = s.proxy.caller().await;
         let call = tokio::spawn(async move { caller.call(class).await });
--- a/tests/scripted/mod.rs
+++ b/tests/scripted/mod.rs
@@ -1,6 +1,6 @@
 //! Backends scripted to the byte: what they hear of a request, what they say to it and when, and how they end its
 //! connection.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod script;
 
--- a/tests/unit/heathroad/front.rs
+++ b/tests/unit/heathroad/front.rs
@@ -2,19 +2,16 @@
 
 use super::*;
 use crate::backend::{Limits, Pool};
+use crate::paused::rig::settings;
 use std::io::Write;
 use tokio::io::AsyncReadExt;
 use tokio::task::LocalSet;
 
-#[allow(dead_code)]
-#[path = "../../rig/settings.rs"]
-mod settings;
-
 /// Longest that a peer may stand open without a request, as callers are promised.
 const SILENT_PEER: Duration = Duration::from_secs(3);
 
 fn front() -> Rc<Front> {
-    let facts = turnshift::settings::parse(settings::settings().to_string().as_bytes()).expect("sound");
+    let facts = turnshift::settings::parse(settings().to_string().as_bytes()).expect("sound");
     let (counters, room) = (Counters::new(facts.site.classes.clone()), Room::new(1 << 20));
     let processes = watch::Sender::new(1);
     let limits = Limits {
--- a/tests/unit/heathroad/paused/mod.rs
+++ b/tests/unit/heathroad/paused/mod.rs
@@ -7,5 +7,5 @@
 mod clock;
 mod program;
 mod returns;
-mod rig;
+pub(crate) mod rig;
 mod stops;
