Have one type of a service's name, and run the paused tests on the platform's configuration

Cause: client and catalog each had a ServiceName. The tests on the paused clock started the program on a TOML file, whose default backoff (2 s) goes past the grace that they judge; the platform's JSON has no backoff unless it asks for one.

Change: catalog's ServiceName serves both, its test takes the other one's cases; the configuration is read from a given origin. A process test runs two proxies against the real registry with a service each.

--- a/src/bin/heathroad/config/error.rs
+++ b/src/bin/heathroad/config/error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::path::PathBuf;
-use turnshift::client::service::InvalidServiceName;
+use turnshift::catalog::ServiceNameError;
 use turnshift::settings;
 
 /// Why a configuration cannot be used. Each is one line.
@@ -52,13 +52,8 @@
     #[error("config: seed: {0}; give up to 16 hexadecimal digits")]
     Seed(#[from] std::num::ParseIntError),
     /// The service has no name that registries know.
-    #[error("config: service: {text:?}: {source}; mend it in the file or at --service")]
-    Service {
-        /// What was given.
-        text: String,
-        /// What is wrong with it.
-        source: InvalidServiceName,
-    },
+    #[error("config: {0}; mend it in the file or at --service")]
+    Service(#[from] ServiceNameError),
     /// There are too many registries.
     #[error("config: discovery: at most {0} addresses; leave some out")]
     ManyRegistries(usize),
--- a/src/bin/heathroad/config/mod.rs
+++ b/src/bin/heathroad/config/mod.rs
@@ -16,10 +16,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use turnshift::api::ListGuard;
+use turnshift::catalog::ServiceName;
 use turnshift::client::discovery::Backoff;
 use turnshift::client::list::Page;
 use turnshift::client::registry::MAX_REGISTRIES;
-use turnshift::client::service::ServiceName;
 use turnshift::client::{membership, routes};
 use turnshift::settings::{self, Facts};
 
@@ -85,13 +85,13 @@
 
 /// Reads the command line, the environment and the file that either names.
 pub fn load() -> Result<Config, Error> {
-    load_with(Args::parse())
+    let args = Args::parse();
+    load_from(Origin::find(&args)?, args)
 }
 
-/// The same, with a command line that is parsed already.
-pub fn load_with(args: Args) -> Result<Config, Error> {
+/// Reads the configuration at `origin`, before which goes what the command line and the environment tell.
+pub fn load_from(origin: Origin, args: Args) -> Result<Config, Error> {
     let told = |flag: Option<String>, name| flag.or_else(|| env::var(name).ok());
-    let origin = Origin::find(&args)?;
     let mut file = origin.read()?;
     file.service = args.service.or(file.service);
     let discovery = told(args.discovery, "RELAY_DISCOVERY").map(Addresses::One);
@@ -178,5 +178,5 @@
 }
 
 fn service(text: String) -> Result<ServiceName, Error> {
-    text.parse().map_err(|source| Error::Service { text, source })
+    Ok(ServiceName::new(&text)?)
 }
--- a/src/catalog/name.rs
+++ b/src/catalog/name.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize, Serializer};
 use std::fmt;
+use std::str::FromStr;
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -43,6 +44,14 @@
     }
 }
 
+impl FromStr for ServiceName {
+    type Err = ServiceNameError;
+
+    fn from_str(text: &str) -> Result<ServiceName, ServiceNameError> {
+        ServiceName::new(text)
+    }
+}
+
 impl TryFrom<String> for ServiceName {
     type Error = ServiceNameError;
 
--- a/src/client/discovery/absent.rs
+++ b/src/client/discovery/absent.rs
@@ -1,6 +1,6 @@
 //! A service that nobody is registered for: most likely a slip of the pen in a configuration.
 
-use crate::client::service::ServiceName;
+use crate::catalog::ServiceName;
 use tracing::warn;
 
 /// Says that a service has no backends: once for each time that it has lost the last one.
--- a/src/client/discovery/ask.rs
+++ b/src/client/discovery/ask.rs
@@ -3,9 +3,9 @@
 use super::Settings;
 use super::pace::Hedges;
 use super::source::Source;
+use crate::catalog::ServiceName;
 use crate::client::list::Page;
 use crate::client::registry::{Call, Fault, Link, call};
-use crate::client::service::ServiceName;
 use crate::client::traffic::Kind;
 use bytes::Bytes;
 use hyper::Method;
--- a/src/client/discovery/mod.rs
+++ b/src/client/discovery/mod.rs
@@ -10,7 +10,7 @@
 pub use pace::{Backoff, Pace};
 
 use crate::api::ListKind;
-use crate::client::service::ServiceName;
+use crate::catalog::ServiceName;
 use crate::client::traffic::Traffic;
 use absent::AbsentService;
 use ask::ask;
--- a/src/client/mod.rs
+++ b/src/client/mod.rs
@@ -11,5 +11,4 @@
 pub mod pauses;
 pub mod registry;
 pub mod routes;
-pub mod service;
 pub mod traffic;
--- a/tests/catalog/bounds.rs
+++ b/tests/catalog/bounds.rs
@@ -136,10 +136,13 @@
 #[test]
 fn names_are_dns_labels_and_dots() {
     let longest = "a".repeat(63);
-    for good in ["a", "0", "checkout.eu-west", "-.-", &longest] {
-        assert!(ServiceName::new(good).is_ok(), "{good}");
+    for good in ["a", "0", "checkout.eu-west", "-", ".", "-.-", &longest] {
+        let name: ServiceName = good.parse().expect(good);
+        assert_eq!(name.to_string(), good);
     }
-    for bad in ["", "A", "a b", "a/b", "ü", "a_b", "a\n", &"a".repeat(64), &"ü".repeat(1000)] {
+    let long = ["a".repeat(64), "ü".repeat(1000)];
+    let short = ["", "A", "a b", "a&b", "a=b", "a/b", "a%41", "ü", "a_b", "a\n"];
+    for bad in short.into_iter().chain(long.iter().map(String::as_str)) {
         let why = ServiceName::new(bad).expect_err(bad).to_string();
         assert!(why.starts_with("service: ") && why.len() < 400, "{why}");
     }
--- a/tests/discovery/service.rs
+++ b/tests/discovery/service.rs
@@ -77,3 +77,32 @@
         assert!(log[0].contains("config: service: ") && log[0].contains("mend"), "{log:?}");
     }
 }
+
+#[tokio::test]
+async fn a_real_registry_gives_each_proxy_its_services_list() {
+    use crate::registry_rig::{Registry, data_dir};
+    let registry = Registry::start(&data_dir("services-of-proxies"), &[]).await;
+    let orders = Arc::new(Orders::default());
+    let (a, b) = (Backend::start("a", &orders).await, Backend::start("b", &orders).await);
+    let put = async |service: &str, line: Value| {
+        let body = serde_json::json!({"ttl_ms": super::TTL, "hosts": [line]}).to_string();
+        let path = format!("/registry/instances?service={service}");
+        assert_eq!(registry.call("PUT", &path, &body).await.0, 200);
+    };
+    put("of-a", a.line("SERVING")).await;
+    let mut proxies = Vec::new();
+    for service in ["of-a", "of-b"] {
+        let mut config = config(&registry.address.to_string());
+        config["service"] = service.into();
+        proxies.push(Proxy::start_as(&config, "exec \"$0\"").await);
+    }
+    super::until_ready(&proxies[0]).await;
+    proxies[1].notes("discovery: service of-b has no backends").await;
+    assert_eq!(proxies[1].ready().await, 503);
+    put("of-b", b.line("SERVING")).await;
+    super::until_ready(&proxies[1]).await;
+    for _ in 0..10 {
+        assert_eq!(proxies[0].call("look").await, (200, "a".into()));
+        assert_eq!(proxies[1].call("look").await, (200, "b".into()));
+    }
+}
--- a/tests/unit/heathroad/paused/program.rs
+++ b/tests/unit/heathroad/paused/program.rs
@@ -1,7 +1,7 @@
 //! The program as its `main` runs it, but for the log and the command line.
 
 use super::rig::{Caller, connect, request};
-use crate::config::{Args, load_with};
+use crate::config::{Args, Origin, load_from};
 use crate::error::Error;
 use clap::Parser;
 use http_body_util::Full;
@@ -33,9 +33,9 @@
         let path = written(config);
         let listen = addr.to_string();
         let discovery = config["discovery"].as_str().expect("text");
-        let config = path.to_str().expect("text");
-        let args = ["heathroad", "--config", config, "--listen", &listen, "--discovery", discovery];
-        let loaded = load_with(Args::try_parse_from(args).expect("a command line"));
+        let args = ["heathroad", "--listen", &listen, "--discovery", discovery];
+        let args = Args::try_parse_from(args).expect("a command line");
+        let loaded = load_from(Origin::Platform(path.clone()), args);
         std::fs::remove_file(&path).expect("it is there");
         let running = spawn_local(crate::run(loaded.expect("a configuration")));
         while TcpStream::connect(addr).await.is_err() {
@@ -82,14 +82,11 @@
     (socket, addr)
 }
 
-/// Writes a configuration as operators do.
+/// Writes a configuration as the platform does: what its agent has counts at once.
 fn written(config: &Value) -> std::path::PathBuf {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
-    let name = format!("heathroad-{}-{}.toml", std::process::id(), NEXT.fetch_add(1, SeqCst));
-    let mut own = config.clone();
-    // The platform's own keys.
-    own.as_object_mut().expect("an object").remove("name");
+    let name = format!("heathroad-{}-{}.json", std::process::id(), NEXT.fetch_add(1, SeqCst));
     let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, toml::to_string(&own).expect("a table")).expect("the folder takes a file");
+    std::fs::write(&path, config.to_string()).expect("the folder takes a file");
     path
 }
