Add a scale run: hollow and real proxies against one registry, with fitted slopes

It plays steady traffic, changes, restarts, a rack, a zone, the registry restarted and replaced with an empty disk, a region cut off, bursts and a rollout; fits lines by least squares, prints what they predict for the held-out size, runs it and says the error. A slope that is off by more than a quarter is marked "not used". What one real and one hollow proxy send is counted on the wire for both alike. Membership is left out: its datagrams between thousands of members on one machine would measure the machine's loopback, and benches/membership.rs has its figures on a clock of its own.

The reports of hollow proxies say of their backends what the decision module says for an idle proxy: one module for each service and worker, since with none a report was a fifth shorter than a real one (871 for 1,123 bytes at 40 backends).

--- /dev/null
+++ b/benches/scale/run/driver.rs
@@ -0,0 +1,73 @@
+//! The run from its first size to the held-out one.
+
+use super::args::Args;
+use super::compare;
+use super::error::{Error, Result};
+use super::fleet::Fleet;
+use super::hands::Hands;
+use super::report::{Fit, Lines, Row, fit_table, fits, judge, table};
+use super::scenario::Stage;
+use serde_json::json;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+/// The whole run, or until a signal ends it; all processes and folders go with it.
+pub async fn run(args: Args) -> Result<()> {
+    let caught = |kind| signal(kind).map_err(|source| Error::Process { what: "a signal".into(), source });
+    let (mut terminated, mut interrupted) =
+        (caught(SignalKind::terminate())?, caught(SignalKind::interrupt())?);
+    tokio::select! {
+        done = sizes(&args) => done,
+        _ = terminated.recv() => Err(Error::Signal),
+        _ = interrupted.recv() => Err(Error::Signal),
+    }
+}
+
+async fn sizes(args: &Args) -> Result<()> {
+    let mut lines = Lines::open(args.json.as_deref())?;
+    let mut rows = Vec::new();
+    for size in &args.sizes {
+        for repeat in 0..args.repeats {
+            rows.extend(one(args, &mut lines, *size, repeat, false).await?);
+        }
+    }
+    let holdout = Some(args.holdout).filter(|size| *size > 0);
+    let mut fits = fits(&rows, holdout);
+    println!("predicted before it is run:\n{}", fit_table(&fits));
+    write_fits(&mut lines, "prediction", &fits)?;
+    let Some(size) = holdout else { return Ok(()) };
+    let held_out = one(args, &mut lines, size, 0, true).await?;
+    judge(&mut fits, &held_out);
+    println!("predicted and measured at {size}:\n{}", fit_table(&fits));
+    write_fits(&mut lines, "fit", &fits)
+}
+
+fn write_fits(lines: &mut Lines, kind: &'static str, fits: &[Fit]) -> Result<()> {
+    fits.iter().try_for_each(|fit| lines.write(kind, fit))
+}
+
+/// Plays everything with one fleet.
+async fn one(args: &Args, lines: &mut Lines, size: usize, repeat: usize, held_out: bool) -> Result<Vec<Row>> {
+    let hands: Result<Vec<Hands>> = (0..args.workers.max(1)).map(|_| Hands::process()).collect();
+    let fleet = Fleet::start(args, size, hands?).await?;
+    let mut rows = Vec::new();
+    // The first report of a proxy comes after up to two windows.
+    sleep(Duration::from_millis(2 * args.report_ms)).await;
+    let mut stage = Stage::new(fleet);
+    for scenario in args.played() {
+        let services = stage.fleet.plan.names().into_iter().flatten().count();
+        let mut row =
+            Row { scenario: scenario.name(), size, services, repeat, held_out, figures: Vec::new() };
+        let begun = compare::look(&stage.fleet).unwrap_or_default();
+        stage.play(scenario, &mut row).await?;
+        println!("{}", table(std::slice::from_ref(&row)));
+        lines.write("run", &row)?;
+        let compared = compare::compare(&stage.fleet, &begun);
+        println!("{}", compare::table(&compared));
+        let wire = json!({"scenario": row.scenario, "size": size, "repeat": repeat, "compared": compared});
+        lines.write("wire", wire)?;
+        rows.push(row);
+    }
+    Ok(rows)
+}
--- /dev/null
+++ b/benches/scale/run/standing.rs
@@ -0,0 +1,96 @@
+//! What the reports of hollow proxies say of their backends: the decision module's own answer for an idle proxy. One
+//! module stands for all hollow proxies of a service in a worker, since a module for each would be their data path.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use turnshift::api::{BackendId, Entry, Event, ListKind, Phase, Standing};
+use turnshift::client::list::{Health, Host};
+use turnshift::client::routes::Tally;
+use turnshift::routes::{LeftOut, MAX_REPORTED};
+use turnshift::settings::Facts;
+use turnshift::{Balancer, backend_id};
+
+/// What a report says of backends.
+#[derive(Default)]
+pub struct Picture {
+    /// Those that can get calls, with none.
+    pub calls: BTreeMap<String, Tally>,
+    /// The first that get less, and why: no report has more.
+    pub left_out: BTreeMap<String, LeftOut>,
+}
+
+/// The module, the newest list that any of the proxies has heard of, and what follows from it.
+pub struct Standings {
+    balancer: Balancer,
+    names: HashMap<BackendId, String>,
+    zones: Vec<String>,
+    version: u64,
+    picture: Option<Rc<Picture>>,
+}
+
+impl Standings {
+    /// Knows no backend yet; none where the settings are not good.
+    pub fn new(facts: &Facts) -> Option<Standings> {
+        let balancer = Balancer::new(facts.settings.clone(), 1).ok()?;
+        let (names, zones) = (HashMap::new(), facts.site.zones.clone());
+        Some(Standings { balancer, names, zones, version: 0, picture: None })
+    }
+
+    /// A list, or changes to it, unless another proxy has brought it already.
+    pub fn take(&mut self, kind: ListKind, version: u64, hosts: &[Host], now: f64) {
+        if version <= self.version {
+            return;
+        }
+        (self.version, self.picture) = (version, None);
+        let entries = hosts.iter().map(|host| self.entry(host)).collect();
+        self.balancer.handle(now, Event::List { kind, entries }, &mut Vec::new());
+        let balancer = &self.balancer;
+        self.names.retain(|id, _| balancer.knows(*id));
+    }
+
+    fn entry(&mut self, host: &Host) -> Entry {
+        let backend = backend_id(&host.host);
+        self.names.insert(backend, host.host.clone());
+        let phase = match host.health {
+            Health::Serving => Phase::Ready,
+            Health::Draining => Phase::Draining,
+            Health::Deleted => Phase::Gone,
+        };
+        let zone = self.zones.iter().position(|zone| *zone == host.site).unwrap_or_default() as u16;
+        let (started_at, weight, cell) = (host.born_ms, host.share, host.block);
+        Entry { backend, phase, zone, started_at, weight, cell }
+    }
+
+    /// What a report says now.
+    pub fn picture(&mut self, now: f64) -> Rc<Picture> {
+        if let Some(picture) = &self.picture {
+            return picture.clone();
+        }
+        let mut picture = Picture::default();
+        for (id, standing) in self.balancer.standings(now) {
+            let Some(name) = self.names.get(&id) else { continue };
+            match why(standing) {
+                Some(LeftOut::Subset) => drop(picture.left_out.insert(name.clone(), LeftOut::Subset)),
+                other => {
+                    picture.calls.insert(name.clone(), Tally::default());
+                    picture.left_out.extend(other.map(|why| (name.clone(), why)));
+                }
+            }
+        }
+        while picture.left_out.len() > MAX_REPORTED {
+            picture.left_out.pop_last();
+        }
+        self.picture.insert(Rc::new(picture)).clone()
+    }
+}
+
+fn why(standing: Standing) -> Option<LeftOut> {
+    match standing {
+        Standing::Full => None,
+        Standing::Ejected => Some(LeftOut::Ejected),
+        Standing::Cold => Some(LeftOut::Cold),
+        Standing::Draining => Some(LeftOut::Draining),
+        Standing::Subset => Some(LeftOut::Subset),
+        Standing::Slow => Some(LeftOut::Slow),
+    }
+}
