--- a/benches/scale/run/driver.rs
+++ b/benches/scale/run/driver.rs
@@ -1,6 +1,6 @@
 //! The run from its first size to the held-out one.
 
-use super::args::Args;
+use super::args::{Args, Scenario};
 use super::compare;
 use super::error::{Error, Result};
 use super::fleet::Fleet;
@@ -56,6 +56,10 @@
     sleep(Duration::from_millis(2 * args.report_ms)).await;
     let mut stage = Stage::new(fleet);
     for scenario in args.played() {
+        if scenario == Scenario::Rollout && args.services > 0 {
+            println!("rollout: not played, the route table belongs to no service yet\n");
+            continue;
+        }
         let services = stage.fleet.plan.names().into_iter().flatten().count();
         let mut row =
             Row { scenario: scenario.name(), size, services, repeat, held_out, figures: Vec::new() };
--- a/benches/scale/run/hold.rs
+++ b/benches/scale/run/hold.rs
@@ -5,6 +5,7 @@
 use super::order::{Answer, Order};
 use super::spread::Spread;
 use super::traffic::Traffic;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -73,6 +74,17 @@
         Ok(())
     }
 
+    /// How many lists, and changes of lists, each hollow proxy has taken.
+    pub async fn lists_taken(&self) -> Result<BTreeMap<usize, u64>> {
+        let mut all = BTreeMap::new();
+        for hands in &self.hands {
+            if let Answer::Counts(counts) = hands.order(&Order::ListsTaken).await? {
+                all.extend(counts);
+            }
+        }
+        Ok(all)
+    }
+
     async fn since(&self, order: &Order) -> Result<Since> {
         let mut all = Vec::new();
         for hands in &self.hands {
--- a/benches/scale/run/order.rs
+++ b/benches/scale/run/order.rs
@@ -53,6 +53,8 @@
     HoldLists(Vec<Truth>),
     /// Who has this route table in force.
     HoldTable(u64),
+    /// How many lists, and changes of lists, each has taken.
+    ListsTaken,
     /// What all have sent and received.
     Traffic,
 }
@@ -65,6 +67,8 @@
     Done,
     /// Since when proxies hold what was asked for, Unix time in microseconds, by number.
     Since(Vec<(usize, Option<u64>)>),
+    /// So many for each number.
+    Counts(Vec<(usize, u64)>),
     /// What all have sent and received.
     Traffic(Traffic),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 
 pub mod api;
 mod balancer;
+pub mod catalog;
 pub mod client;
 pub mod replay;
 pub mod routes;
