--- a/benches/scale/run/fleet.rs
+++ b/benches/scale/run/fleet.rs
@@ -16,7 +16,9 @@
 use tokio::net::TcpListener;
 
 /// Hollow proxies of a worker that start at once: more would wait for each other's lists on its one thread.
-const STARTED_AT_ONCE: usize = 32;
+const STARTED_AT_ONCE: usize = 8;
+/// The first registration of a backend outlives the start of all agents, which renew it for the TTL of the run.
+const FIRST_TTL_MS: u64 = 600_000;
 /// One in so many proxies is in the region that is cut off.
 const REGIONS: usize = 4;
 
@@ -52,7 +54,7 @@
         let registry = Registry::start(&folder, args).await?;
         let account = Account::new(&plan);
         for service in plan.names() {
-            registry.register(service.as_deref(), &account.entries(&service), args.ttl_ms).await?;
+            registry.register(service.as_deref(), &account.entries(&service), FIRST_TTL_MS).await?;
         }
         let real_numbers = plan.real(args.real);
         let metered = real_numbers.first().copied();
--- a/benches/scale/run/hollow.rs
+++ b/benches/scale/run/hollow.rs
@@ -14,7 +14,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 use turnshift::api::ListKind;
-use turnshift::client::discovery::{self, Listener, Pace};
+use turnshift::client::discovery::{self, Backoff, Listener, Pace};
 use turnshift::client::list::Host;
 use turnshift::client::routes::{Identity, RoutedProxy, Routes, Settings, Tally, Totals};
 use turnshift::client::traffic::Traffic;
@@ -86,7 +86,7 @@
         let (registries, moves) = watch::channel(vec![plan.registry]);
         let (wanting, wanted) = watch::channel(true);
         let stand_in = StandIn(inner.clone());
-        let pace = Pace::new(false, DRAIN_GRACE);
+        let pace = Pace::new(false, DRAIN_GRACE).with_backoff(Backoff::default());
         let service = plan.service.as_deref().and_then(|name| name.parse().ok());
         let follows = discovery::Settings { service, ..discovery::Settings::new(pace, traffic.clone()) };
         let list = discovery::follow(stand_in.clone(), moves.clone(), follows, wanted, oneshot::channel().0);
