--- a/benches/scale/run/driver.rs
+++ b/benches/scale/run/driver.rs
@@ -29,7 +29,7 @@
     let mut rows = Vec::new();
     for size in &args.sizes {
         for repeat in 0..args.repeats {
-            rows.extend(one(args, &mut lines, *size, repeat, false).await?);
+            one(args, &mut lines, Run { size: *size, repeat, held_out: false }, &mut rows).await?;
         }
     }
     let holdout = Some(args.holdout).filter(|size| *size > 0);
@@ -37,21 +37,43 @@
     println!("predicted before it is run:\n{}", fit_table(&fits));
     write_fits(&mut lines, "prediction", &fits)?;
     let Some(size) = holdout else { return Ok(()) };
-    let held_out = one(args, &mut lines, size, 0, true).await?;
+    let mut held_out = Vec::new();
+    let played = one(args, &mut lines, Run { size, repeat: 0, held_out: true }, &mut held_out).await;
+    // What was played before a scenario that failed is judged all the same.
     judge(&mut fits, &held_out);
     println!("predicted and measured at {size}:\n{}", fit_table(&fits));
-    write_fits(&mut lines, "fit", &fits)
+    write_fits(&mut lines, "fit", &fits)?;
+    played
 }
 
 fn write_fits(lines: &mut Lines, kind: &'static str, fits: &[Fit]) -> Result<()> {
     fits.iter().try_for_each(|fit| lines.write(kind, fit))
 }
 
-/// Plays everything with one fleet.
-async fn one(args: &Args, lines: &mut Lines, size: usize, repeat: usize, held_out: bool) -> Result<Vec<Row>> {
+/// Which run.
+#[derive(Clone, Copy)]
+struct Run {
+    size: usize,
+    repeat: usize,
+    held_out: bool,
+}
+
+/// Plays everything with one fleet, up to what fails; that is written down, too.
+async fn one(args: &Args, lines: &mut Lines, run: Run, rows: &mut Vec<Row>) -> Result<()> {
+    let played = play(args, lines, run, rows).await;
+    if let Err(error) = &played {
+        let held_out = run.held_out;
+        let failed =
+            json!({"size": run.size, "repeat": run.repeat, "held_out": held_out, "error": error.to_string()});
+        lines.write("failed", failed)?;
+    }
+    played
+}
+
+async fn play(args: &Args, lines: &mut Lines, run: Run, rows: &mut Vec<Row>) -> Result<()> {
+    let Run { size, repeat, held_out } = run;
     let hands: Result<Vec<Hands>> = (0..args.workers.max(1)).map(|_| Hands::process()).collect();
     let fleet = Fleet::start(args, size, hands?).await?;
-    let mut rows = Vec::new();
     // The first report of a proxy comes after up to two windows.
     sleep(Duration::from_millis(2 * args.report_ms)).await;
     let mut stage = Stage::new(fleet);
@@ -73,5 +95,5 @@
         lines.write("wire", wire)?;
         rows.push(row);
     }
-    Ok(rows)
+    Ok(())
 }
