--- a/benches/scale/run/hands.rs
+++ b/benches/scale/run/hands.rs
@@ -13,7 +13,7 @@
 /// A worker.
 pub enum Hands {
     /// A process.
-    Process(Mutex<Piped>),
+    Process(Box<Mutex<Piped>>),
     /// A thread of this process.
     Thread(Mutex<(UnboundedSender<Order>, UnboundedReceiver<Answer>)>),
 }
@@ -36,7 +36,7 @@
         let pipes = child.stdin.take().zip(child.stdout.take());
         let (orders, answers) = pipes.ok_or_else(|| silent("has no pipes"))?;
         let answers = BufReader::new(answers).lines();
-        Ok(Hands::Process(Mutex::new(Piped { child, orders, answers })))
+        Ok(Hands::Process(Box::new(Mutex::new(Piped { child, orders, answers }))))
     }
 
     /// A thread.
--- a/benches/scale/run/worker.rs
+++ b/benches/scale/run/worker.rs
@@ -19,7 +19,7 @@
 
 /// What runs of a proxy here.
 enum Member {
-    Hollow(Hollow),
+    Hollow(Box<Hollow>),
     /// The backend's agent of a real proxy.
     Agent(#[allow(dead_code)] Agent),
 }
@@ -126,7 +126,7 @@
             Member::Agent(Agent::start(plan, self.shared.traffic.clone()))
         } else {
             let Some(standings) = self.standings(&plan) else { return };
-            Member::Hollow(Hollow::start(plan, standings, &self.shared))
+            Member::Hollow(Box::new(Hollow::start(plan, standings, &self.shared)))
         };
         self.members.insert(number, member);
     }
@@ -146,7 +146,7 @@
 
     fn hollow(&self) -> impl Iterator<Item = (usize, &Hollow)> {
         self.members.iter().filter_map(|(number, member)| match member {
-            Member::Hollow(hollow) => Some((*number, hollow)),
+            Member::Hollow(hollow) => Some((*number, hollow.as_ref())),
             Member::Agent(_) => None,
         })
     }
