--- a/tests/digest.rs
+++ b/tests/digest.rs
@@ -2,10 +2,13 @@
 //! of which many are cold, ejected, draining or doubted. Work that is only to make the module quicker leaves it as it
 //! is; a change of the decisions themselves records a new one, and its commit says so.
 
+#[path = "digest/conditions.rs"]
+mod conditions;
 #[path = "digest/life.rs"]
 mod life;
 
-use life::{Conditions, Life};
+use conditions::Conditions;
+use life::Life;
 use sha2::{Digest, Sha256};
 use std::fmt::Write;
 
--- a/tests/digest/life.rs
+++ b/tests/digest/life.rs
@@ -1,5 +1,9 @@
 //! A random life of a copy: arrivals, outcomes, a list that changes, route tables, and peers that come and go.
 
+#[path = "news.rs"]
+mod news;
+
+use crate::conditions::Conditions;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use turnshift::Balancer;
@@ -11,79 +15,6 @@
 /// Attempts that are left without an answer so long time out.
 const PATIENCE_MS: f64 = 800.0;
 
-/// What a life is drawn from. Rates are out of a thousand steps.
-pub struct Conditions {
-    pub seed: u64,
-    pub settings: Settings,
-    pub backends: u32,
-    pub zones: u16,
-    pub arrivals: usize,
-    pub cold_share: f64,
-    pub ill_share: f64,
-    pub uneven: bool,
-    pub restarts: u32,
-    pub changes: u32,
-    pub losses: u32,
-    pub tables: u32,
-    pub peers: u32,
-}
-
-fn class(aim: f64, points: f64, effect: Effect, in_order: bool) -> Class {
-    Class { aim, points, effect, in_order }
-}
-
-impl Conditions {
-    pub fn draw(seed: u64) -> Self {
-        let mut rng = fastrand::Rng::with_seed(seed ^ 0x5eed);
-        let dedup = |group, window| Effect::Dedup { group, window };
-        let classes = vec![
-            class(200.0, 1.0, Effect::Retryable, false),
-            class(300.0, 5.0, Effect::Fragile, false),
-            class(400.0, 2.0, dedup(Group::Zone, 700.0), false),
-            class(300.0, 3.0, dedup(Group::Cell, 500.0), true),
-            class(300.0, 2.0, dedup(Group::All, 600.0), false),
-        ];
-        let copies = 1 + rng.u32(..60);
-        let most = if rng.bool() { 400 } else { 20 };
-        let settings = Settings {
-            copy: rng.u32(..copies),
-            copies,
-            tier: rng.u32(..2),
-            tick: 5.0,
-            over_share_worth: 0.05,
-            classes,
-            tenants: vec![Tenant { quota_per_s: 500.0 }, Tenant { quota_per_s: 20.0 }],
-            caps: Caps { cancelling: true, retry_after: true, max_retry_after: 2000.0, try_limit: 4 },
-            rules: Rules {
-                cold_from: 0.13,
-                cold: 7000.0,
-                fall_multiple: 3.0,
-                ask_within: 5000.0,
-                release_within: 500.0,
-                settle_after_doubt: 300.0,
-            },
-            goal: Goal { worst_class: 0.3, cross_zone: if rng.bool() { 0.0 } else { 0.05 } },
-            list_guard: ListGuard { panic_threshold: if rng.bool() { 0.0 } else { 0.2 }, hold: 3000.0 },
-            ..Settings::default()
-        };
-        Conditions {
-            seed,
-            settings,
-            backends: 3 + rng.u32(..most),
-            zones: 1 + rng.u16(..4),
-            arrivals: 1 + rng.usize(..8),
-            cold_share: 0.2,
-            ill_share: 0.1,
-            uneven: rng.bool(),
-            restarts: 5,
-            changes: 40,
-            losses: 2,
-            tables: 3,
-            peers: 3,
-        }
-    }
-}
-
 struct Out {
     request: RequestId,
     attempt: AttemptNo,
@@ -189,76 +120,6 @@
         self.tell(Event::Hangup { request });
     }
 
-    fn any_listed(&mut self) -> Option<BackendId> {
-        let count = self.listed.len();
-        (count > 0).then(|| *self.listed.keys().nth(self.rng.usize(..count)).expect("within"))
-    }
-
-    /// One to three entries change, come or go.
-    fn change(&mut self) {
-        let mut entries = Vec::new();
-        for _ in 0..=self.rng.usize(..3) {
-            let Some(backend) = self.any_listed() else { return };
-            let mut entry = self.listed[&backend].clone();
-            match self.rng.u32(..8) {
-                0 => entry.phase = Phase::Draining,
-                1 => entry.phase = Phase::Gone,
-                2 => entry.zone = self.rng.u16(..self.conditions.zones),
-                3 => entry.weight += 0.1,
-                4 => entry.started_at = self.now - 10.0,
-                5 => {
-                    let id = self.conditions.backends + self.rng.u32(1..30);
-                    self.add(id);
-                    let backend = id.wrapping_mul(2_654_435_761);
-                    entry = self.listed[&backend].clone();
-                }
-                _ => entry.phase = Phase::Ready,
-            }
-            if entry.phase == Phase::Gone {
-                self.listed.remove(&entry.backend);
-            } else {
-                self.listed.insert(entry.backend, entry.clone());
-            }
-            entries.push(entry);
-        }
-        self.tell(Event::List { kind: ListKind::Delta, entries });
-    }
-
-    /// A part of the backends starts anew.
-    fn restart(&mut self) {
-        let (now, share) = (self.now, self.rng.f64());
-        let mut entries: Vec<Entry> = self.listed.values().cloned().collect();
-        entries.retain(|_| self.rng.f64() < share);
-        entries.iter_mut().for_each(|e| e.started_at = now - 100.0 * self.rng.f64());
-        self.listed.extend(entries.iter().map(|e| (e.backend, e.clone())));
-        self.tell(Event::List { kind: ListKind::Delta, entries });
-    }
-
-    /// The list service answers with a part of the list, or not at all; the whole list comes later, or never.
-    fn lose(&mut self) {
-        if self.rng.bool() {
-            return self.tell(Event::List { kind: ListKind::Failed, entries: Vec::new() });
-        }
-        let share = [0.0, 0.1, 0.5, 0.95, 1.0][self.rng.usize(..5)];
-        let mut entries: Vec<Entry> = self.listed.values().cloned().collect();
-        entries.retain(|_| self.rng.f64() < share);
-        self.tell(Event::List { kind: ListKind::Full, entries });
-        if self.rng.bool() {
-            let entries = self.listed.values().cloned().collect();
-            self.tell(Event::List { kind: ListKind::Full, entries });
-        }
-    }
-
-    fn weigh(&mut self) {
-        let mut weights = Vec::new();
-        for &id in self.listed.keys() {
-            if self.rng.f64() < 0.3 {
-                weights.push((id, [0.0, 0.5, 1.0, 1.7][self.rng.usize(..4)]));
-            }
-        }
-        self.tell(Event::Weights { weights });
-    }
-
     fn pass_time(&mut self, to: f64) {
         while self.now < to {
             self.now += 5.0;
--- /dev/null
+++ b/tests/digest/news.rs
@@ -0,0 +1,76 @@
+//! What changes around a copy: its list, the backends' starts, and the route table.
+
+use super::Life;
+use turnshift::api::*;
+
+impl Life {
+    pub(super) fn any_listed(&mut self) -> Option<BackendId> {
+        let count = self.listed.len();
+        (count > 0).then(|| *self.listed.keys().nth(self.rng.usize(..count)).expect("within"))
+    }
+
+    /// One to three entries change, come or go.
+    pub(super) fn change(&mut self) {
+        let mut entries = Vec::new();
+        for _ in 0..=self.rng.usize(..3) {
+            let Some(backend) = self.any_listed() else { return };
+            let mut entry = self.listed[&backend].clone();
+            match self.rng.u32(..8) {
+                0 => entry.phase = Phase::Draining,
+                1 => entry.phase = Phase::Gone,
+                2 => entry.zone = self.rng.u16(..self.conditions.zones),
+                3 => entry.weight += 0.1,
+                4 => entry.started_at = self.now - 10.0,
+                5 => {
+                    let id = self.conditions.backends + self.rng.u32(1..30);
+                    self.add(id);
+                    let backend = id.wrapping_mul(2_654_435_761);
+                    entry = self.listed[&backend].clone();
+                }
+                _ => entry.phase = Phase::Ready,
+            }
+            if entry.phase == Phase::Gone {
+                self.listed.remove(&entry.backend);
+            } else {
+                self.listed.insert(entry.backend, entry.clone());
+            }
+            entries.push(entry);
+        }
+        self.tell(Event::List { kind: ListKind::Delta, entries });
+    }
+
+    /// A part of the backends starts anew.
+    pub(super) fn restart(&mut self) {
+        let (now, share) = (self.now, self.rng.f64());
+        let mut entries: Vec<Entry> = self.listed.values().cloned().collect();
+        entries.retain(|_| self.rng.f64() < share);
+        entries.iter_mut().for_each(|e| e.started_at = now - 100.0 * self.rng.f64());
+        self.listed.extend(entries.iter().map(|e| (e.backend, e.clone())));
+        self.tell(Event::List { kind: ListKind::Delta, entries });
+    }
+
+    /// The list service answers with a part of the list, or not at all; the whole list comes later, or never.
+    pub(super) fn lose(&mut self) {
+        if self.rng.bool() {
+            return self.tell(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+        }
+        let share = [0.0, 0.1, 0.5, 0.95, 1.0][self.rng.usize(..5)];
+        let mut entries: Vec<Entry> = self.listed.values().cloned().collect();
+        entries.retain(|_| self.rng.f64() < share);
+        self.tell(Event::List { kind: ListKind::Full, entries });
+        if self.rng.bool() {
+            let entries = self.listed.values().cloned().collect();
+            self.tell(Event::List { kind: ListKind::Full, entries });
+        }
+    }
+
+    pub(super) fn weigh(&mut self) {
+        let mut weights = Vec::new();
+        for &id in self.listed.keys() {
+            if self.rng.f64() < 0.3 {
+                weights.push((id, [0.0, 0.5, 1.0, 1.7][self.rng.usize(..4)]));
+            }
+        }
+        self.tell(Event::Weights { weights });
+    }
+}
