--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -1,5 +1,5 @@
 //! Every decision of a balancer copy: one learned concurrency limit, split into slices by worth, over a
-//! load-sized subset of the tier. The interface (settings, events, actions) is in `src/api.rs`.
+//! load-sized subset of the tier. The interface (settings, events, actions) is in `src/api/`.
 
 mod admission;
 mod attempts;
