--- a/review/uptime/run.sh
+++ b/review/probes/uptime.sh
@@ -5,5 +5,5 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 rustc --edition 2024 --crate-name tokio --crate-type rlib -o "$folder/libtokio.rlib" tokio_stub.rs || exit 2
-rustc --edition 2024 --extern tokio="$folder/libtokio.rlib" -o "$folder/probe" probe.rs || exit 2
+rustc --edition 2024 --extern tokio="$folder/libtokio.rlib" -o "$folder/probe" uptime.rs || exit 2
 "$folder/probe"
