--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p bin
 for case in [0-9]*/; do
     case=${case%/}
-    if [ -f "$case/case.rs" ]; then rustc --edition 2021 -O -o "bin/case$case" "$case/case.rs"; fi
+    if [ -f "$case/case.rs" ]; then rustc --edition 2024 -O -o "bin/case$case" "$case/case.rs"; fi
 done
