Review: each script names the record that it writes

Need: a case's folder has to show what writes record.txt. Change: run.sh gives its path to the program.

--- a/review/common.rs
+++ b/review/common.rs
@@ -34,9 +34,9 @@
 
 /// Runs a case: `case` returns true if the rule held. A panic, or a run that takes too long, is a case that did not run.
 pub fn main_of(case: fn(&Stage) -> Result<bool, String>) -> ! {
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the case's folder is the first argument"));
+    let record = PathBuf::from(std::env::args().nth(1).expect("the record's path is the first argument"));
     let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-    let stage = Arc::new(Stage::new(folder, trouble));
+    let stage = Arc::new(Stage::new(record, trouble));
     let _ = STAGE.set(stage.clone());
     stage.note(&format!("trouble: {}", if trouble { "on" } else { "off (TROUBLE=0)" }));
     let watched = stage.clone();
@@ -69,14 +69,14 @@
 }
 
 impl Stage {
-    fn new(folder: PathBuf, trouble: bool) -> Stage {
+    fn new(record: PathBuf, trouble: bool) -> Stage {
         let name = format!("review-case-{}-{}", std::process::id(), unix_ms());
         let temporary = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&temporary).expect("the temporary folder can be made");
         Stage {
             trouble,
             started: Instant::now(),
-            record: Mutex::new(File::create(folder.join("record.txt")).expect("record.txt can be written")),
+            record: Mutex::new(File::create(record).expect("the record can be written")),
             temporary,
             children: Mutex::default(),
             names: AtomicU64::new(0),
--- a/review/probes/long_answers/run.sh
+++ b/review/probes/long_answers/run.sh
@@ -4,4 +4,4 @@
 cd "$here/../../.." || exit 2
 mkdir -p review/bin
 rustc --edition 2024 -O -o review/bin/long_answers "$here/case.rs" || exit 2
-exec review/bin/long_answers "$here"
+exec review/bin/long_answers "$here/record.txt"
