Trace each call to a registry at level debug

Change: call_trace.rs logs each call's start, answer, failure or abandonment with its time, and the watch logs each list that it applies. RUST_LOG=load_balancer=debug shows them; at info nothing changes.

--- a/src/client/discovery/watch.rs
+++ b/src/client/discovery/watch.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{Instant, sleep};
+use tracing::debug;
 
 /// Delay after an answer without a change that arrived sooner than this.
 ///
@@ -111,6 +112,7 @@
             // The registry sends a skipped entry again only as part of the full list.
             self.state.resync();
         }
+        debug!("discovery: applying version {version}, {} entries", entries.len());
         if has_content {
             self.listener.apply(kind, version, entries);
             if let Some(first_list) = self.first_list.take() {
--- a/src/client/registry/call.rs
+++ b/src/client/registry/call.rs
@@ -4,6 +4,7 @@
 //! its messages and bytes under its [`TrafficKind`], and ends in bounded time.
 
 use super::CallError;
+use super::call_trace::CallTrace;
 use crate::client::traffic::{MeteredStream, StreamMeter, Traffic, TrafficKind};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -60,8 +61,11 @@
     traffic: &Traffic,
 ) -> Result<Bytes, CallError> {
     let time_limit = call.wait + ANSWER_GRACE;
+    let trace = CallTrace::start(call.kind, address, call.path, time_limit);
     let exchange = exchange(connection, address, call, traffic);
-    timeout(time_limit, exchange).await.unwrap_or(Err(CallError::TimedOut))
+    let result = timeout(time_limit, exchange).await.unwrap_or(Err(CallError::TimedOut));
+    trace.end(&result);
+    result
 }
 
 async fn exchange(
--- a/src/client/registry/mod.rs
+++ b/src/client/registry/mod.rs
@@ -5,6 +5,7 @@
 //! registration and the traffic recorder use them; this module does not depend on the content of their calls.
 
 mod call;
+mod call_trace;
 mod error;
 mod failover;
 
