Use late answers of a slow discovery, and call it no more often than a prompt one

Cause: each call's time was shorter than the answer's, at every try. `registry::call` ended it 1 s after its wait, `send_hedges` cancelled each hedge when the next one started (150 ms there), and `poll` dropped the first call with them. Nothing let a later try wait longer.

Change: up to three calls are in flight, and the first whole answer to any is used: the current call, a hedge, and an overdue call of an earlier poll, which is kept while its limit doubles with each silent poll (calls_in_flight.rs). The poller learns how late answers are (answer_time.rs); hedges start after 1.5 times that, and a poll fails 2 to 3 s after its wait (1 s before), so that a slow discovery is called less often, and a silent one is still noticed. A late answer after a failover returns to its registry. What is learnt outlives a reload. Route table, reports, registration and segments had the same fixed limit; they share RegistryClient, whose limit doubles with each timeout from 2 s up to 16 s.

tests/unit/client/discovery/watch_state.rs passes the request that a page answers, which `accept` asks for now; tests/unit/client/traffic.rs passes the limit of 1 s that was fixed.

--- a/benches/scale/run/agent.rs
+++ b/benches/scale/run/agent.rs
@@ -19,6 +19,8 @@
 const MAX_ANSWER: usize = 64 << 10;
 /// A registry that takes longer is asked again.
 const WAIT: Duration = Duration::from_secs(1);
+/// Time after the wait within which the answer must arrive.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 
 /// A running agent; it ends, with nothing said to anybody, when this is dropped.
 pub struct Agent(JoinHandle<()>);
@@ -55,7 +57,7 @@
             wait: WAIT,
             max_answer: MAX_ANSWER,
         };
-        let pause = match call(&mut None, plan.agent_registry, put, &traffic).await {
+        let pause = match call(&mut None, plan.agent_registry, put, ANSWER_LIMIT, &traffic).await {
             Ok(_) => {
                 backoff.reset();
                 ttl.mul_f64(0.25 + fastrand::f64() / 6.0)
--- a/src/bin/proxy/descriptors.rs
+++ b/src/bin/proxy/descriptors.rs
@@ -10,7 +10,7 @@
 use tracing::warn;
 
 /// Number of descriptors reserved for standard streams, the listener, the reactor, the configuration file during a
-/// reload, and discovery, to which two calls may be in flight while the connection of a third is being closed.
+/// reload, and discovery, to which three calls may be in flight while the connection of a fourth is being closed.
 const RESERVED: usize = 16;
 /// Maximum number of connections that are accepted beyond the limit, only to have their requests rejected at once.
 const MAX_SPARE: usize = 32;
--- a/src/bin/proxy/recorder/shipping.rs
+++ b/src/bin/proxy/recorder/shipping.rs
@@ -5,7 +5,7 @@
 use super::{MAX_WAITING, Recording};
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use load_balancer::client::registry::{Call, CallError, Connection, DEFAULT_BACKOFF, EndpointFailover, call};
+use load_balancer::client::registry::{Call, CallError, DEFAULT_BACKOFF, EndpointFailover, RegistryClient};
 use load_balancer::client::traffic::TrafficKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,7 +21,7 @@
 /// The registry that segments are sent to.
 struct Destination {
     registries: EndpointFailover,
-    connection: Option<Connection>,
+    client: RegistryClient,
 }
 
 impl Recording {
@@ -38,7 +38,7 @@
 
     async fn ship_to_registries(&self, addresses: Vec<SocketAddr>) {
         let registries = EndpointFailover::new("record", addresses, DEFAULT_BACKOFF);
-        let mut destination = Destination { registries, connection: None };
+        let mut destination = Destination { registries, client: RegistryClient::new(self.traffic.clone()) };
         loop {
             let Some(segment) = self.waiting.borrow_mut().pop_front() else {
                 self.ready.notified().await;
@@ -55,7 +55,7 @@
 
     /// Sends a segment once. Returns whether it is settled: accepted, rejected for good or dropped.
     async fn send_segment(&self, destination: &mut Destination, number: u64, bytes: &Bytes) -> bool {
-        let Destination { registries, connection } = destination;
+        let Destination { registries, client } = destination;
         let put = Call {
             kind: TrafficKind::Trace,
             method: Method::PUT,
@@ -64,7 +64,7 @@
             wait: Duration::ZERO,
             max_answer: MAX_ANSWER_BYTES,
         };
-        match call(connection, registries.address(), put, &self.traffic).await {
+        match client.call(registries.address(), put).await {
             Ok(_) => {
                 if registries.record_success() {
                     info!(
@@ -84,7 +84,7 @@
                 true
             }
             Err(error) => {
-                *connection = None;
+                client.disconnect();
                 sleep(registries.record_failure(&error)).await;
                 // While no registry is reachable, drops this segment once the queue is full: newer ones are more useful.
                 let is_full = self.waiting.borrow().len() >= MAX_WAITING;
--- a/src/client/discovery/mod.rs
+++ b/src/client/discovery/mod.rs
@@ -4,6 +4,7 @@
 //! When the registries' addresses change, it starts again with the full list. It owns the held version, the connection
 //! and the backoff; the [`EndpointListener`] owns the list itself.
 
+mod calls_in_flight;
 mod listener;
 mod missing_service;
 mod poll;
--- a/src/client/discovery/schedule.rs
+++ b/src/client/discovery/schedule.rs
@@ -16,6 +16,16 @@
 /// Delay of an answer after which a hedge is sent where lists are polled on demand. There each call loads discovery,
 /// and a change must be in force only after 6 s, whatever is configured.
 const POLL_HEDGE_AFTER: Duration = Duration::from_millis(500);
+/// Shortest time after a poll's wait for which its answer is awaited before the poll fails. The platform counts a call as
+/// broken 2 s after its wait.
+const MIN_POLL_TIME_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time after a poll's wait for which its answer is awaited, so that a watch that is never answered is replaced
+/// while its change is not yet due, 6 s after it was made.
+const MAX_POLL_TIME_LIMIT: Duration = Duration::from_secs(3);
+/// Time by which an answer may exceed the expected lateness before its poll fails.
+const LATENESS_TOLERANCE: Duration = Duration::from_millis(500);
+/// Longest delay of a hedge because of late answers.
+const MAX_HEDGE_DELAY: Duration = Duration::from_secs(2);
 /// Lower bound of all delays and hedge intervals, whatever the settings.
 const MIN_DELAY: Duration = Duration::from_millis(10);
 /// Smallest accepted [`PollBackoff::max_ms`].
@@ -106,6 +116,18 @@
         }
     }
 
+    /// Returns the time after a poll's wait at which the poll fails, where answers are `lateness` late.
+    pub(super) fn poll_time_limit(&self, lateness: Duration) -> Duration {
+        (lateness + LATENESS_TOLERANCE).clamp(MIN_POLL_TIME_LIMIT, MAX_POLL_TIME_LIMIT)
+    }
+
+    /// Returns the delay of a hedge at a hedge interval, where answers are `lateness` late.
+    ///
+    /// Hedges that are sent while an answer is merely as late as usual would load a slow registry further.
+    pub(super) fn hedge_delay(&self, interval: Duration, lateness: Duration) -> Duration {
+        interval.max((lateness * 3 / 2).min(MAX_HEDGE_DELAY))
+    }
+
     /// Returns the rest of the delay after a failed call that took `call_time`.
     ///
     /// A call that timed out has already delayed the next one and left no call pending. With a [`PollBackoff`] its time
--- a/src/client/discovery/watch.rs
+++ b/src/client/discovery/watch.rs
@@ -1,12 +1,11 @@
 //! Watch loop of discovery: polls, passes answers to the listener, and waits between calls.
 
 use super::missing_service::MissingServiceWarning;
-use super::poll::poll;
-use super::schedule::HedgeSchedule;
+use super::poll::{PollAnswer, Poller};
 use super::watch_state::WatchState;
 use super::{EndpointListener, Settings};
-use crate::client::list::{ListPage, ParsedEntries};
-use crate::client::registry::{CallError, Connection};
+use crate::client::list::ParsedEntries;
+use crate::client::registry::CallError;
 use crate::interface::ListKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -34,13 +33,15 @@
     first_list: oneshot::Sender<()>,
 ) {
     let mut first_list = Some(first_list);
+    let mut poller = Poller::new(settings.clone());
     loop {
         let registries = addresses.borrow_and_update().clone();
-        let watch = EndpointWatch::new(&listener, registries, &settings, &mut first_list);
+        let watch = EndpointWatch::new(&listener, registries, &settings, &mut poller, &mut first_list);
         tokio::select! {
             () = watch.watch_endpoint(on_demand.clone()) => return,
             Ok(()) = addresses.changed() => {}
         }
+        poller.disconnect();
     }
 }
 
@@ -49,8 +50,7 @@
     listener: &'a L,
     settings: &'a Settings,
     state: WatchState,
-    connection: Option<Connection>,
-    hedges: HedgeSchedule,
+    poller: &'a mut Poller,
     missing_service: MissingServiceWarning,
     /// Notified of the first list, and `None` from then on.
     first_list: &'a mut Option<oneshot::Sender<()>>,
@@ -61,6 +61,7 @@
         listener: &'a L,
         registries: Vec<SocketAddr>,
         settings: &'a Settings,
+        poller: &'a mut Poller,
         first_list: &'a mut Option<oneshot::Sender<()>>,
     ) -> Self {
         let backoff = settings.schedule.backoff_bounds(registries.len());
@@ -68,8 +69,7 @@
             listener,
             settings,
             state: WatchState::new(registries, backoff),
-            connection: None,
-            hedges: settings.schedule.hedge_schedule(),
+            poller,
             missing_service: MissingServiceWarning::default(),
             first_list,
         }
@@ -78,29 +78,61 @@
     /// Polls for ever, or until the sender of `on_demand` is dropped if lists are polled on demand.
     async fn watch_endpoint(mut self, mut on_demand: watch::Receiver<bool>) {
         loop {
-            if self.settings.schedule.on_demand && on_demand.wait_for(|wanted| *wanted).await.is_err() {
+            if self.settings.schedule.on_demand && !self.wait_until_wanted(&mut on_demand).await {
                 return;
             }
             if self.listener.take_resync_request() {
                 self.state.resync();
+                self.poller.disconnect();
             }
             let begun = Instant::now();
-            let resumed = self.state.resume_version();
-            let answer = poll(&mut self.connection, &self.state, self.settings, &mut self.hedges).await;
-            let accepted = answer.and_then(|page| self.state.accept(&page).map(|()| page));
-            let delay = match accepted {
-                Ok(page) => self.apply(page, resumed, begun),
+            let answer = self.poller.poll(self.state.next_request()).await;
+            let delay = match answer.and_then(|answer| self.accept(answer)) {
+                Ok(has_changed) if has_changed || begun.elapsed() >= UNCHANGED_DELAY => continue,
+                Ok(_) => UNCHANGED_DELAY,
                 Err(error) => self.record_failure(&error, begun),
             };
-            if let Some(delay) = delay {
-                sleep(delay).await;
+            self.pause(delay).await;
+        }
+    }
+
+    /// Waits until a poll is wanted, and applies late answers meanwhile. Returns false once the sender is dropped.
+    async fn wait_until_wanted(&mut self, on_demand: &mut watch::Receiver<bool>) -> bool {
+        loop {
+            tokio::select! {
+                biased;
+                wanted = on_demand.wait_for(|wanted| *wanted) => return wanted.is_ok(),
+                answer = self.poller.late_answer() => self.accept_late(answer),
             }
         }
     }
 
-    /// Passes an accepted answer to the listener; returns the delay before the next call, if one is needed.
-    fn apply(&mut self, page: ListPage, resumed: Option<u64>, begun: Instant) -> Option<Duration> {
-        self.hedges.reset();
+    /// Waits for the delay before the next call, or until a late answer was applied.
+    async fn pause(&mut self, delay: Duration) {
+        tokio::select! {
+            () = sleep(delay) => {}
+            answer = self.poller.late_answer() => self.accept_late(answer),
+        }
+    }
+
+    /// Applies an answer to a call whose poll has failed already.
+    fn accept_late(&mut self, answer: PollAnswer) {
+        // An answer that is rejected leaves the watch as the failed poll has left it.
+        let _ = self.accept(answer);
+    }
+
+    /// Applies an answer if it continues the held list; returns whether that changed the list.
+    fn accept(&mut self, answer: PollAnswer) -> Result<bool, CallError> {
+        let accepted = self.state.accept(&answer.page, answer.request);
+        if accepted.is_err() {
+            self.poller.disconnect();
+        }
+        accepted.map(|()| self.apply(answer))
+    }
+
+    /// Passes an accepted answer to the listener; returns whether it changed the list.
+    fn apply(&mut self, answer: PollAnswer) -> bool {
+        let PollAnswer { page, request } = answer;
         if let (Some(service), true) = (&self.settings.service, page.is_full) {
             self.missing_service.record_full_list(service, page.entries.is_empty());
         }
@@ -120,17 +152,15 @@
                 let _ = first_list.send(());
             }
         }
-        let has_changed = has_content && unreadable == 0 && resumed != Some(version);
-        (!has_changed && begun.elapsed() < UNCHANGED_DELAY).then_some(UNCHANGED_DELAY)
+        has_content && unreadable == 0 && request.after != Some(version)
     }
 
     /// Records a failed call; returns the delay before the next one.
-    fn record_failure(&mut self, error: &CallError, begun: Instant) -> Option<Duration> {
-        self.connection = None;
+    fn record_failure(&mut self, error: &CallError, begun: Instant) -> Duration {
         if self.settings.schedule.on_demand {
             self.listener.poll_failed();
         }
         let delay = self.state.record_failure(error);
-        Some(self.settings.schedule.remaining_delay(delay, error, begun.elapsed()))
+        self.settings.schedule.remaining_delay(delay, error, begun.elapsed())
     }
 }
--- a/src/client/discovery/watch_state.rs
+++ b/src/client/discovery/watch_state.rs
@@ -3,6 +3,8 @@
 //! Each watch over a set of registries owns one [`WatchState`], with the failover among them, the version of the list
 //! that the listener has, and the registry that sent it.
 
+use super::calls_in_flight::ListRequest;
+use super::poll::WATCH_WAIT;
 use crate::client::backoff::BackoffBounds;
 use crate::client::list::ListPage;
 use crate::client::registry::{CallError, EndpointFailover};
@@ -32,32 +34,41 @@
     }
 
     /// Returns the address of the registry to poll.
-    pub(super) fn address(&self) -> SocketAddr {
+    fn address(&self) -> SocketAddr {
         self.failover.address()
     }
 
     /// Returns whether no call has succeeded since the last failure.
-    pub(super) fn is_failing(&self) -> bool {
+    fn is_failing(&self) -> bool {
         self.failover.is_failing()
     }
 
     /// Returns the version to watch from, or `None` if the full list has to be polled.
-    pub(super) fn resume_version(&self) -> Option<u64> {
+    fn resume_version(&self) -> Option<u64> {
         self.held.filter(|held| held.registry == self.address()).map(|held| held.version)
     }
 
+    /// Returns the next request: for the full list if no version is held, and otherwise a watch from the held version,
+    /// without a wait after a failure.
+    pub(super) fn next_request(&self) -> ListRequest {
+        let after = self.resume_version();
+        let is_immediate = after.is_none() || self.is_failing();
+        let wait = if is_immediate { Duration::ZERO } else { WATCH_WAIT };
+        ListRequest { registry: self.address(), after, wait }
+    }
+
     /// Discards the held version, so that the next call requests the full list.
     pub(super) fn resync(&mut self) {
         self.held = None;
     }
 
-    /// Checks that an answer continues the held list, and if so records its version.
+    /// Checks that the answer to `request` continues the held list, and if so records its version.
     ///
     /// A registry that lost its data starts a new history at a lower version, and its updates would be applied to a
     /// list of the old history. A version below the held one reveals this: such an update is an error and causes a
     /// resync, while a full list of the new history is accepted.
-    pub(super) fn accept(&mut self, page: &ListPage) -> Result<(), CallError> {
-        let resumed = self.resume_version();
+    pub(super) fn accept(&mut self, page: &ListPage, request: ListRequest) -> Result<(), CallError> {
+        let resumed = request.after;
         match resumed {
             None if !page.is_full => return Err(CallError::UnexpectedUpdate),
             Some(held) if page.version < held && !page.is_full => {
@@ -67,18 +78,18 @@
             Some(held) if page.version < held => {
                 warn!(
                     "discovery: the list at {} went back from version {held} to {}; its full list replaces the held one",
-                    self.address(),
-                    page.version
+                    request.registry, page.version
                 );
             }
             _ => {}
         }
+        self.failover.return_to(request.registry);
         if self.failover.record_success() {
             let outcome = resumed
                 .map_or("received the full list".into(), |held| format!("resumed from version {held}"));
             info!("discovery: {} answers after failed calls; {outcome}", self.address());
         }
-        self.held = Some(HeldVersion { registry: self.address(), version: page.version });
+        self.held = Some(HeldVersion { registry: request.registry, version: page.version });
         Ok(())
     }
 
--- a/src/client/membership/registration.rs
+++ b/src/client/membership/registration.rs
@@ -8,7 +8,7 @@
 use super::seeding::SEEDING_BACKOFF;
 use crate::client::backoff::Backoff;
 use crate::client::list::{Health, ListPage};
-use crate::client::registry::{self, Call, CallError};
+use crate::client::registry::{Call, CallError, RegistryClient};
 use crate::client::traffic::TrafficKind;
 use bytes::Bytes;
 use hyper::Method;
@@ -21,8 +21,8 @@
 
 /// Time to live of a registration that is not renewed.
 const TTL: Duration = Duration::from_secs(30);
-/// Time limit of a registration and the read that follows it, after which the next registry is called.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit of a deregistration, after which the next registry is called: the process is about to end.
+const DEREGISTRATION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest accepted list, in bytes: 33,500 proxies with the longest names and zones, 64,500 with short ones (computed).
 /// A list is in memory only while it is parsed.
 const MAX_LIST_BYTES: usize = 8 << 20;
@@ -34,9 +34,10 @@
     let mut current = 0;
     let mut backoff = Backoff::new(SEEDING_BACKOFF);
     let mut is_failing = false;
+    let mut client = RegistryClient::new(membership.control_traffic.clone());
     loop {
         let registry = registries[current];
-        let delay = match register_and_read(&membership, registry).await {
+        let delay = match register_and_read(&membership, &mut client, registry).await {
             Ok(proxies) => {
                 membership.set_listed_members(proxies);
                 backoff.reset();
@@ -52,14 +53,18 @@
                 backoff.next_delay()
             }
         };
+        // The next call is seconds away.
+        client.disconnect();
         sleep(delay).await;
     }
 }
 
 /// Deletes this process's registration at the first registry that answers.
 pub(super) async fn deregister(membership: Rc<Membership>, registries: Vec<SocketAddr>) {
+    let mut client = RegistryClient::new(membership.control_traffic.clone());
     for registry in registries {
-        if let Ok(Ok(())) = timeout(CALL_TIMEOUT, register(&membership, registry, "DELETED")).await {
+        let deregistration = register(&membership, &mut client, registry, "DELETED");
+        if let Ok(Ok(())) = timeout(DEREGISTRATION_TIMEOUT, deregistration).await {
             return;
         }
     }
@@ -74,43 +79,39 @@
 /// Registers this process, then reads the addresses of the serving proxies.
 async fn register_and_read(
     membership: &Membership,
+    client: &mut RegistryClient,
     registry: SocketAddr,
 ) -> Result<Vec<SocketAddr>, CallError> {
-    let exchange = async {
-        register(membership, registry, "SERVING").await?;
-        call(membership, registry, Method::GET, Bytes::new()).await
-    };
-    let answer = timeout(CALL_TIMEOUT, exchange).await.unwrap_or(Err(CallError::TimedOut))?;
+    register(membership, client, registry, "SERVING").await?;
+    let answer = client.call(registry, instances_call(Method::GET, Bytes::new())).await?;
     let page = serde_json::from_slice::<ListPage>(&answer)?;
     let entries = page.into_entries().entries;
     let serving = entries.into_iter().filter(|entry| entry.health == Health::Serving);
     Ok(serving.filter_map(|entry| entry.address).collect())
 }
 
-async fn register(membership: &Membership, registry: SocketAddr, health: &str) -> Result<(), CallError> {
+async fn register(
+    membership: &Membership,
+    client: &mut RegistryClient,
+    registry: SocketAddr,
+    health: &str,
+) -> Result<(), CallError> {
     let entry = {
         let swim = membership.swim.borrow();
         let id = swim.id();
         json!({"host": id.name, "dial": id.addr, "site": id.zone, "class": "proxy", "health": health})
     };
     let body = json!({"ttl_ms": TTL.as_millis() as u64, "hosts": [entry]}).to_string();
-    call(membership, registry, Method::PUT, body.into()).await.map(drop)
+    client.call(registry, instances_call(Method::PUT, body.into())).await.map(drop)
 }
 
-/// Makes a call on a new connection, which is not kept because the next call is seconds away.
-async fn call(
-    membership: &Membership,
-    registry: SocketAddr,
-    method: Method,
-    body: Bytes,
-) -> Result<Bytes, CallError> {
-    let registration = Call {
+fn instances_call(method: Method, body: Bytes) -> Call<'static> {
+    Call {
         kind: TrafficKind::Registration,
         method,
         path: PATH,
         body,
-        wait: CALL_TIMEOUT,
+        wait: Duration::ZERO,
         max_answer: MAX_LIST_BYTES,
-    };
-    registry::call(&mut None, registry, registration, &membership.control_traffic).await
+    }
 }
--- a/src/client/registry/call.rs
+++ b/src/client/registry/call.rs
@@ -18,13 +18,6 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Time after a call's wait within which the answer must arrive; otherwise the call fails with
-/// [`CallError::TimedOut`].
-///
-/// Without the timeout, a client whose watch is accepted but never answered would keep using an old list. The platform
-/// expects a change to be in force 2 s after a watch's wait ends, or 6 s after the change, whatever is configured; an
-/// unanswered watch is detected before both.
-const ANSWER_GRACE: Duration = Duration::from_secs(1);
 /// Most bytes of an error answer's text that are kept for the error message.
 const MAX_ERROR_TEXT: usize = 200;
 
@@ -44,7 +37,7 @@
     pub path: &'a str,
     /// Body of the request; may be empty.
     pub body: Bytes,
-    /// Time for which the registry may delay its answer; the call times out 1 s later.
+    /// Time for which the registry may delay its answer.
     pub wait: Duration,
     /// Longest accepted body of the answer, in bytes.
     pub max_answer: usize,
@@ -53,14 +46,16 @@
 /// Makes a call and returns the body of the answer with status 200.
 ///
 /// The call takes `connection` if it is usable, and puts it back once the answer is complete. After an error no
-/// connection is put back, except after [`CallError::Status`], whose answer was read to its end.
+/// connection is put back, except after [`CallError::Status`], whose answer was read to its end. The call fails with
+/// [`CallError::TimedOut`] if its answer is not complete `answer_limit` after its wait.
 pub async fn call(
     connection: &mut Option<Connection>,
     address: SocketAddr,
     call: Call<'_>,
+    answer_limit: Duration,
     traffic: &Traffic,
 ) -> Result<Bytes, CallError> {
-    let time_limit = call.wait + ANSWER_GRACE;
+    let time_limit = call.wait + answer_limit;
     let trace = CallTrace::start(call.kind, address, call.path, time_limit);
     let exchange = exchange(connection, address, call, traffic);
     let result = timeout(time_limit, exchange).await.unwrap_or(Err(CallError::TimedOut));
--- a/src/client/registry/failover.rs
+++ b/src/client/registry/failover.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Range of the delays after failed calls that are not urgent.
 pub const DEFAULT_BACKOFF: BackoffBounds =
@@ -48,6 +48,15 @@
         self.addresses[self.current]
     }
 
+    /// Returns to a registry whose answer arrived after the next one was called.
+    pub fn return_to(&mut self, address: SocketAddr) {
+        let position = self.addresses.iter().position(|known| *known == address);
+        if let Some(position) = position.filter(|position| *position != self.current) {
+            self.current = position;
+            info!("{}: returning to {address}, whose answer was late", self.purpose);
+        }
+    }
+
     /// Returns whether no call has succeeded since the last failure.
     pub fn is_failing(&self) -> bool {
         self.failing_since.is_some()
--- a/src/client/route_table/report.rs
+++ b/src/client/route_table/report.rs
@@ -3,7 +3,7 @@
 //! A report that the registry does not accept is dropped with its counts; the registry detects the gap in the numbers.
 
 use super::{CallCounts, RequestTotals, RouteTableClient};
-use crate::client::registry::{Call, CallError, call};
+use crate::client::registry::{Call, CallError, RegistryClient};
 use crate::client::traffic::TrafficKind;
 use crate::route_table::{ExclusionReason, MAX_REPORTED, MAX_WITNESSED, Report};
 use hyper::Method;
@@ -66,7 +66,7 @@
     /// Sends a report at the end of each window, for ever. A lost report is not sent again: by then the registry
     /// compares later windows.
     pub async fn run_reports(self: Rc<Self>) {
-        let mut connection = None;
+        let mut client = RegistryClient::new(self.traffic.clone());
         // Spreads the reports of proxies that started together over the interval.
         sleep(self.report_interval.mul_f64(fastrand::f64())).await;
         loop {
@@ -86,10 +86,10 @@
                 wait: Duration::ZERO,
                 max_answer: MAX_ANSWER_BYTES,
             };
-            match call(&mut connection, registry, request, &self.traffic).await {
+            match client.call(registry, request).await {
                 Ok(_) => self.report_accepted(),
                 Err(error) => {
-                    connection = None;
+                    client.disconnect();
                     self.report_lost(report.number, registry, &error);
                 }
             }
--- a/src/client/route_table/watch.rs
+++ b/src/client/route_table/watch.rs
@@ -4,7 +4,7 @@
 
 use super::RouteTableClient;
 use super::table::TableResponse;
-use crate::client::registry::{Call, CallError, Connection, DEFAULT_BACKOFF, EndpointFailover, call};
+use crate::client::registry::{Call, CallError, DEFAULT_BACKOFF, EndpointFailover, RegistryClient};
 use crate::client::traffic::TrafficKind;
 use bytes::Bytes;
 use hyper::Method;
@@ -39,11 +39,11 @@
     /// Polls the table with failover among `registries`, with the delays of the failover after failed polls.
     async fn watch_registries(&self, registries: Vec<SocketAddr>) {
         let mut failover = EndpointFailover::new("routes", registries, DEFAULT_BACKOFF);
-        let mut connection = None;
+        let mut client = RegistryClient::new(self.traffic.clone());
         loop {
             self.registry.set(Some(failover.address()));
             let polled_at = Instant::now();
-            let answer = self.poll(&mut connection, failover.address()).await;
+            let answer = self.poll(&mut client, failover.address()).await;
             match answer.and_then(|response| self.update_table(response)) {
                 Ok(is_new) => {
                     if failover.record_success() {
@@ -70,7 +70,7 @@
     /// immediately; otherwise when there is a newer table, or after [`POLL_WAIT`].
     async fn poll(
         &self,
-        connection: &mut Option<Connection>,
+        client: &mut RegistryClient,
         registry: SocketAddr,
     ) -> Result<TableResponse, CallError> {
         let name = self.identity.name();
@@ -90,7 +90,7 @@
             wait,
             max_answer: MAX_TABLE_BYTES,
         };
-        let text = call(connection, registry, request, &self.traffic).await?;
+        let text = client.call(registry, request).await?;
         serde_json::from_slice(&text).map_err(CallError::InvalidTable)
     }
 
--- a/tests/agent_rig/mod.rs
+++ b/tests/agent_rig/mod.rs
@@ -38,6 +38,10 @@
     /// number is never answered.
     outage_toggles: watch::Sender<usize>,
     open_connections: AtomicUsize,
+    /// Largest number of connections that were open at a time.
+    max_open_connections: AtomicUsize,
+    /// Time by which each answer is late.
+    answer_delay: watch::Sender<Duration>,
 }
 
 /// Handle of an agent that serves an endpoint list on loopback.
@@ -63,6 +67,8 @@
             calls: watch::Sender::default(),
             outage_toggles: watch::Sender::default(),
             open_connections: AtomicUsize::new(0),
+            max_open_connections: AtomicUsize::new(0),
+            answer_delay: watch::Sender::default(),
         });
         let agent = Agent { addr: listener.local_addr().expect("bound listener has an address"), shared };
         let shared = agent.shared.clone();
@@ -71,7 +77,8 @@
                 let (stream, _) = listener.accept().await.expect("accepts a connection");
                 let shared = shared.clone();
                 tokio::spawn(async move {
-                    shared.open_connections.fetch_add(1, SeqCst);
+                    let open = shared.open_connections.fetch_add(1, SeqCst) + 1;
+                    shared.max_open_connections.fetch_max(open, SeqCst);
                     serve(stream, &shared).await;
                     shared.open_connections.fetch_sub(1, SeqCst);
                 });
@@ -121,6 +128,16 @@
         self.shared.outage_toggles.send_modify(|toggles| *toggles += 1);
     }
 
+    /// Makes each answer late by this time; it has the list as it is when it is sent.
+    pub fn set_answer_delay(&self, delay: Duration) {
+        self.shared.answer_delay.send_replace(delay);
+    }
+
+    /// Returns the largest number of connections that were open at a time.
+    pub fn max_open_connections(&self) -> usize {
+        self.shared.max_open_connections.load(SeqCst)
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         self.shared.open_connections.load(SeqCst)
@@ -216,7 +233,16 @@
             let mut list = shared.list.subscribe();
             let has_changed = after.is_none_or(|after| list.borrow_and_update().0 > after)
                 || matches!(timeout(wait, list.changed()).await, Ok(Ok(())));
-            if has_changed {
+            let delay = *shared.answer_delay.borrow();
+            if !delay.is_zero() {
+                let mut buffer = [0];
+                // A caller that gives up meanwhile closes its connection.
+                tokio::select! {
+                    () = sleep(delay) => {}
+                    _ = stream.read(&mut buffer) => return None,
+                }
+            }
+            if has_changed || after.is_some_and(|after| list.borrow().0 > after) {
                 full_list()
             } else {
                 json!({"seq": after, "whole": false, "hosts": []}).to_string()
--- a/tests/client_rig/mod.rs
+++ b/tests/client_rig/mod.rs
@@ -62,8 +62,8 @@
     changed: Rc<Notify>,
     traffic: Traffic,
     task: JoinHandle<()>,
+    addresses: watch::Sender<Vec<SocketAddr>>,
     // Kept so that the channels of the task stay open.
-    _addresses: watch::Sender<Vec<SocketAddr>>,
     _on_demand: watch::Sender<bool>,
     _first_list: oneshot::Receiver<()>,
 }
@@ -71,14 +71,24 @@
 impl Client {
     /// Starts a client that watches the list at a registry and counts its calls in the settings' traffic.
     pub fn start(registry: SocketAddr, settings: Settings) -> Client {
+        Client::start_with_registries(vec![registry], settings)
+    }
+
+    /// Starts a client with several registries, the preferred one first.
+    pub fn start_with_registries(registries: Vec<SocketAddr>, settings: Settings) -> Client {
         let (held, changed) = (Rc::<RefCell<HeldList>>::default(), Rc::new(Notify::new()));
         let listener = ListRecorder { held: held.clone(), changed: changed.clone() };
-        let (_addresses, addresses) = watch::channel(vec![registry]);
+        let (addresses, watched_addresses) = watch::channel(registries);
         let (_on_demand, on_demand) = watch::channel(true);
         let (first_list, _first_list) = oneshot::channel();
         let traffic = settings.traffic.clone();
-        let task = spawn_local(run_watch(listener, addresses, settings, on_demand, first_list));
-        Client { held, changed, traffic, task, _addresses, _on_demand, _first_list }
+        let task = spawn_local(run_watch(listener, watched_addresses, settings, on_demand, first_list));
+        Client { held, changed, traffic, task, addresses, _on_demand, _first_list }
+    }
+
+    /// Moves the watch to another registry, as a reload does.
+    pub fn move_to(&self, registry: SocketAddr) {
+        self.addresses.send_replace(vec![registry]);
     }
 
     /// Waits until the serving backends of the held list are exactly these.
--- /dev/null
+++ b/tests/slow_registry/calls.rs
@@ -0,0 +1,72 @@
+//! Single calls, as the route table, reports, registrations and traces make them.
+
+use super::agent_rig::Agent;
+use super::clock::{advance_until, with_stopped_clock};
+use super::{list, start_slow_agent};
+use load_balancer::client::registry::{Call, CallError, RegistryClient};
+use load_balancer::client::traffic::{Traffic, TrafficKind};
+use rstest::rstest;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+fn list_call() -> Call<'static> {
+    Call {
+        kind: TrafficKind::FullList,
+        method: hyper::Method::GET,
+        path: "/registry/instances",
+        body: bytes::Bytes::new(),
+        wait: Duration::ZERO,
+        max_answer: 1 << 20,
+    }
+}
+
+/// Guards against a time limit of 1 s at which reports, registrations, tables and segments were given up.
+#[rstest]
+#[case::within_the_first_limit(1200, 0)]
+#[case::later(3000, 1)]
+#[case::much_later(10_000, 3)]
+#[tokio::test(start_paused = true)]
+async fn calls_are_answered_however_late_after_few_timeouts(
+    #[case] lateness_ms: u64,
+    #[case] max_timeouts: usize,
+) {
+    with_stopped_clock(async {
+        let agent = start_slow_agent("a", Duration::from_millis(lateness_ms)).await;
+        let mut client = RegistryClient::new(Traffic::default());
+        let mut timeouts = 0;
+        let mut answers = 0;
+        while answers < 10 {
+            match advance_until(client.call(agent.addr, list_call())).await {
+                Ok(_) => answers += 1,
+                Err(CallError::TimedOut) => timeouts += 1,
+                Err(error) => panic!("{error}"),
+            }
+        }
+        assert!(timeouts <= max_timeouts, "{timeouts} calls timed out");
+        assert_eq!(agent.max_open_connections(), 1, "one call at a time");
+    })
+    .await;
+}
+
+/// A call that is never answered ends, and the next one is answered by a registry that is back.
+#[tokio::test(start_paused = true)]
+async fn calls_without_an_answer_end_in_bounded_time() {
+    const LONGEST_CALL: Duration = Duration::from_secs(17);
+    with_stopped_clock(async {
+        let agent = Agent::start(list("a")).await;
+        let mut client = RegistryClient::new(Traffic::default());
+        agent.toggle_outage();
+        for _ in 0..6 {
+            let started = Instant::now();
+            let result = advance_until(client.call(agent.addr, list_call())).await;
+            assert!(matches!(result, Err(CallError::TimedOut)));
+            assert!(started.elapsed() < LONGEST_CALL, "the call took {:?}", started.elapsed());
+        }
+        agent.toggle_outage();
+        advance_until(sleep(Duration::from_millis(10))).await;
+        let started = Instant::now();
+        assert!(advance_until(client.call(agent.addr, list_call())).await.is_ok());
+        assert!(started.elapsed() < Duration::from_secs(1));
+    })
+    .await;
+}
--- a/tests/unit/client/traffic.rs
+++ b/tests/unit/client/traffic.rs
@@ -37,7 +37,9 @@
             let wait = Duration::from_secs(600);
             let list_call =
                 Call { kind, method: Method::GET, path: "/x", body: Bytes::new(), wait, max_answer: 99 };
-            let body = call(&mut connection, address, list_call, &traffic).await.expect("the call succeeds");
+            let body = call(&mut connection, address, list_call, Duration::from_secs(1), &traffic)
+                .await
+                .expect("the call succeeds");
             assert_eq!(&body[..], b"list");
         }
     });
--- a/tests/unit/proxy/paused/mod.rs
+++ b/tests/unit/proxy/paused/mod.rs
@@ -9,4 +9,5 @@
 mod program;
 mod returns;
 pub(crate) mod rig;
+mod slow_discovery;
 mod stops;
