Soak the watch with random faults of a slow registry

Need: late answers, silent and broken calls and outages were tried one by one, not in any order.

The wait for queued actions opens one connection since, not one each 50 ms.

--- a/tests/slow_registry/main.rs
+++ b/tests/slow_registry/main.rs
@@ -14,6 +14,7 @@
 mod moves;
 #[path = "../rig/mod.rs"]
 mod rig;
+mod soak;
 #[path = "../waits/mod.rs"]
 mod waits;
 mod watches;
@@ -25,7 +26,7 @@
 use load_balancer::client::traffic::Traffic;
 use serde_json::Value;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time after which a change counts as delivered, from when a registry that can be reached has it.
 const DELIVERY_DEADLINE: Duration = Duration::from_secs(6);
@@ -78,6 +79,13 @@
     changed_at.elapsed()
 }
 
+/// Waits until calls have taken all queued actions.
+async fn wait_until_actions_taken(agent: &Agent) {
+    while agent.queued_actions() > 0 {
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Advances the clock until the client holds a list with one backend.
 async fn wait_until_held(client: &Client, name: &str) {
     let held = advance_until(timeout(LIST_TIMEOUT, client.wait_for_backends(&[name]))).await;
--- a/tests/slow_registry/watches.rs
+++ b/tests/slow_registry/watches.rs
@@ -5,7 +5,7 @@
 use super::clock::{advance_until, with_stopped_clock};
 use super::{
     DELIVERY_DEADLINE, MAX_CALLS_IN_FLIGHT, Polling, change, list, settings, start_slow_agent,
-    wait_until_held,
+    wait_until_actions_taken, wait_until_held,
 };
 use rstest::rstest;
 use std::time::Duration;
@@ -103,9 +103,7 @@
             advance_until(sleep(Duration::from_secs(15))).await;
         }
         agent.enqueue([CallAction::NoAnswer]);
-        while agent.queued_actions() > 0 {
-            advance_until(sleep(Duration::from_millis(50))).await;
-        }
+        advance_until(wait_until_actions_taken(&agent)).await;
         agent.set_answer_delay(Duration::from_millis(lateness_ms));
         let elapsed = change(&agent, &client, "b").await;
         assert!(elapsed < DELIVERY_DEADLINE, "applied after {elapsed:?}");
