Trace each request's phases at level debug

The log could not tell apart a body that arrives late, a body that is read late, an event loop that is late, a slow backend, and a client's time that does not run.

Change: request_trace.rs logs, each with the milliseconds since the head was read: the head, the end of a long body and the moment its time counts from, each attempt's start and end, the time that a backend is told, and the answer's status. RUST_LOG=proxy=debug shows them; at info nothing changes.

So: the time runs from when an attempt reads the body, if any does. Ruled out: bodies that arrive late (all acknowledged before), a late event loop (attempts end within 2 ms of their 250 ms), a slow backend (answers 40 ms after the body).

--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -96,16 +96,20 @@
     ) -> Reply {
         let body = request.call.remaining_body.clone();
         let received_at = request.received_at;
+        let trace = request.call.trace.clone();
         source.client.set_request_complete(body.is_none());
         let mut ended = pin!(ended(self.engine.admit(request)));
         let Some(body) = body else {
             let end = end_or_client_left(ended, source.client).await;
-            return respond(self.fail_late_stream(end, received_at), record);
+            return trace.answered(respond(self.fail_late_stream(end, received_at), record));
         };
         let complete_or_ended = async {
             tokio::select! {
                 end = &mut ended => return end,
-                state = body.settled() => record_body_end(state, &mut record, source),
+                state = body.settled() => {
+                    trace.body_ended(state);
+                    record_body_end(state, &mut record, source);
+                }
             }
             ended.await
         };
@@ -114,7 +118,7 @@
             BodyState::Complete(at) => self.fail_late_stream(end, at),
             _ => end,
         };
-        respond_with_unread_body(end, record, &body, announced)
+        trace.answered(respond_with_unread_body(end, record, &body, announced))
     }
 
     /// Turns a streamed response into an exceeded deadline if the request was completed too late after the stop
--- a/src/bin/proxy/downstream/read_request.rs
+++ b/src/bin/proxy/downstream/read_request.rs
@@ -8,6 +8,7 @@
 use crate::body::{self, BufferReservation, RateLimitedBody, RemainingBody};
 use crate::counters::RequestRecord;
 use crate::engine::{ParsedRequest, millis};
+use crate::request_trace::RequestTrace;
 use crate::upstream::UpstreamRequest;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
@@ -62,6 +63,7 @@
         let remaining_body =
             remaining.map(|body| Rc::new(RemainingBody::new(body, checked.client_timeout, client.clone())));
         let mut record = self.counters.record(checked.class);
+        let trace = RequestTrace::start(checked.id.clone(), checked.client_timeout, is_complete);
         if is_complete {
             source.progress.await_head();
             record.complete();
@@ -75,6 +77,7 @@
             key: checked.idempotency_key,
             buffered_body: buffered,
             remaining_body,
+            trace: Rc::new(trace),
             client,
             _buffer_permit: buffer_permit,
             client_deadline: received_at + checked.client_timeout,
--- a/src/bin/proxy/engine/attempts.rs
+++ b/src/bin/proxy/engine/attempts.rs
@@ -40,6 +40,7 @@
         let begin_by = pending.begin_by();
         pending.attempts.push(Some(InFlightAttempt { backend, sent_at, cancel: Some(cancel) }));
         let call = pending.call.clone();
+        call.trace.attempt_started(number, target.address);
         let deadline = self.clock.instant(deadline_ms);
         let attempt = Attempt { call, target, deadline, begin_by, cancelled };
         let engine = self.clone();
@@ -64,6 +65,7 @@
             let Some(pending) = state.requests.get_mut(&request) else { return };
             let Some(attempt) = pending.attempts.get_mut(number).and_then(Option::take) else { return };
             let outcome = end.outcome();
+            pending.call.trace.attempt_ended(number, outcome);
             if !outcome.never_ran() {
                 let first = pending.first_sent_at.map_or(attempt.sent_at, |first| first.min(attempt.sent_at));
                 pending.first_sent_at = Some(first);
--- a/src/bin/proxy/main.rs
+++ b/src/bin/proxy/main.rs
@@ -19,6 +19,7 @@
 mod observer;
 mod ops;
 mod recorder;
+mod request_trace;
 mod route_table;
 mod startup;
 mod upstream;
--- a/src/bin/proxy/upstream/attempt.rs
+++ b/src/bin/proxy/upstream/attempt.rs
@@ -137,7 +137,7 @@
     target: &Rc<Target>,
     deadline: Instant,
 ) -> AttemptEnd {
-    let response = match forward(&mut link, call, deadline).await {
+    let response = match forward(&mut link, call, target, deadline).await {
         Ok(response) => response,
         Err(outcome) => return AttemptEnd::Failed(outcome),
     };
@@ -157,9 +157,12 @@
 async fn forward(
     link: &mut Link,
     call: &UpstreamRequest,
+    target: &Target,
     deadline: Instant,
 ) -> Result<Response<Incoming>, Outcome> {
-    let request = call.to_http(&link.progress, deadline).ok_or(Outcome::NotSent)?;
+    let timeout_ms = call.backend_timeout_ms(deadline);
+    let request = call.to_http(&link.progress, timeout_ms).ok_or(Outcome::NotSent)?;
+    call.trace.forwarded(target.address, timeout_ms);
     match link.sender.send_request(request).await {
         Ok(response) => Ok(response),
         Err(_) if !call.is_complete() && call.is_broken() => Err(Outcome::NotSent),
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -5,6 +5,7 @@
 
 use crate::body::{BodyState, BufferReservation, RemainingBody};
 use crate::io::{Client, Outgoing, Progress};
+use crate::request_trace::RequestTrace;
 use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Method, Request, Uri};
@@ -43,6 +44,8 @@
     pub buffered_body: Bytes,
     /// The rest of a body that is not buffered completely.
     pub remaining_body: Option<Rc<RemainingBody>>,
+    /// The log of the request's phases.
+    pub trace: Rc<RequestTrace>,
     /// The client that sent the request.
     pub client: Weak<Client>,
     /// The reservation in the buffer budget for `buffered_body`.
@@ -88,12 +91,15 @@
         }
     }
 
+    /// Returns the time that a backend is told, in milliseconds, for an attempt with this deadline.
+    pub(super) fn backend_timeout_ms(&self, deadline: Instant) -> u64 {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        self.remaining_body.as_ref().map_or(remaining, |body| body.client_timeout).as_millis() as u64
+    }
+
     /// Builds the HTTP request for one attempt, whose body reports to `progress` how far it was written. Returns
     /// `None` if the request is invalid.
-    pub(super) fn to_http(&self, progress: &Rc<Progress>, deadline: Instant) -> Option<Request<Outgoing>> {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let timeout_ms =
-            self.remaining_body.as_ref().map_or(remaining, |r| r.client_timeout).as_millis() as u64;
+    pub(super) fn to_http(&self, progress: &Rc<Progress>, timeout_ms: u64) -> Option<Request<Outgoing>> {
         let mut request = Request::builder().method(self.method.clone()).uri(self.uri.clone());
         let headers = request.headers_mut()?;
         headers.insert(HOST, self.host.clone().unwrap_or(HeaderValue::from_static(DEFAULT_HOST)));
