Shed a queued request by its deadline once its body is complete

What callers saw: a request with a long body that waited in a queue had no deadline, and kept a queue deadline without one when its last byte came: it could wait for its class's whole queue time, past its client's time.

Cause: on_body_complete set the request's deadline and left queue_deadline_ms as it was computed on arrival, from f64::MAX.

Change: the queue deadline becomes two ticks before the deadline at the latest, as for a request that arrives complete.

Evidence: decisions::bodies::a_complete_body_limits_the_time_in_a_queue fails before (shed at 1,150 ms, deadline 1,050 ms) and passes now.

--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -144,7 +144,7 @@
         self.retry_budget.earn(self.concurrency_limit.limit);
         let over_quota = self.settings.tier == 0 && self.takes_over_quota(now_ms, arrival.tenant);
         let slice = self.admission.slice_of(class, over_quota);
-        let latest_ms = arrival.deadline_ms - 2.0 * self.tick_interval_ms();
+        let latest_ms = self.latest_queue_ms(arrival.deadline_ms);
         let key = if in_order { arrival.key } else { 0 };
         let waits_for_key = self.join_key_queue(key, id);
         let admitted = !waits_for_key && self.admission.slices[slice].queue.is_empty() && self.admits(slice);
--- a/src/balancer/request.rs
+++ b/src/balancer/request.rs
@@ -114,12 +114,20 @@
         }
     }
 
+    /// Returns the last time (ms) at which a request with this deadline may wait in a queue.
+    pub(super) fn latest_queue_ms(&self, deadline_ms: f64) -> f64 {
+        deadline_ms - 2.0 * self.tick_interval_ms()
+    }
+
     /// Handles the arrival of a request's last body byte. Timing begins only now, because the time that the
-    /// client took to send the body must not count as the backend's latency.
+    /// client took to send the body must not count as the backend's latency. A queued request may wait no
+    /// longer than its deadline allows.
     pub(super) fn on_body_complete(&mut self, now_ms: f64, id: RequestId, deadline_ms: f64) {
+        let latest_ms = self.latest_queue_ms(deadline_ms);
         let Some(request) = self.requests.get_mut(&id).filter(|r| r.body_pending) else { return };
         request.body_pending = false;
         request.deadline_ms = deadline_ms;
+        request.queue_deadline_ms = request.queue_deadline_ms.min(latest_ms);
         self.begin_attempt(now_ms, id);
     }
 
--- a/tests/decisions/bodies.rs
+++ b/tests/decisions/bodies.rs
@@ -38,6 +38,22 @@
     assert!(pending.iter().all(|id| p.requests[id].ended.is_some_and(|e| e.1 == RequestEnd::Served)));
 }
 
+/// A queued request whose body was still arriving had no deadline, and kept none once its body was complete: it waited
+/// for as long as its class allows.
+#[test]
+fn a_complete_body_limits_the_time_in_a_queue() {
+    let mut p = Proxy::new(plain(1), 1, entries(4));
+    while p.requests.values().all(|record| !record.sends.is_empty()) {
+        p.request(0, 0, 1e5);
+    }
+    let request = p.request_with_pending_body(0);
+    let deadline_ms = p.now + 50.0;
+    p.notify(Event::BodyComplete { request, deadline_ms });
+    p.advance(deadline_ms + 500.0);
+    let ended = p.requests[&request].ended.expect("the request has ended");
+    assert!(ended.0 <= deadline_ms && ended.1 == RequestEnd::Rejected, "{ended:?}, deadline {deadline_ms}");
+}
+
 /// A request whose body was partly consumed cannot be sent again, even if it never ran: it ends at once.
 #[test]
 fn a_consumed_body_is_not_sent_again() {
