Count a long request's time from its last byte's arrival, not from when it is read

Short ones were in time.

Cause: the rest of a body that is not buffered was read by the attempt that sends it, and the client's time began when that attempt read the last byte. Until an attempt had a connection, or while a backend did not read, the bytes lay in the system's buffers and no time ran; only the number of attempts ended such a request.

Ruled out: late bodies, a late event loop, slow backends, timers that do not fire.

Why this mends it: the client's connection receives the body as it arrives (RemainingBody::receive), so that the last byte's arrival is seen whether or not an attempt exists, and the balancer gets its deadline then. What no attempt has taken is held in segments charged to the budget of buffered bodies (read_ahead.rs), at most 512 KiB a body and half of the budget in all, so that memory stays bounded; past that the client alone is slowed, and arrival.rs sees the last byte of a body with a length from the number of bytes that wait in the system's buffers (FIONREAD every 10 ms). A client that still sends has no deadline, as before. Backends are told what is left once the body is complete. A 100 Continue goes out when an attempt asks, as before.

--- a/src/bin/proxy/body/buffer_budget.rs
+++ b/src/bin/proxy/body/buffer_budget.rs
@@ -11,7 +11,10 @@
 ///
 /// Without this budget, many bodies buffered at once could exceed the memory limit. A body that gets no reservation is
 /// streamed, as a long one is, and cannot be sent again once an attempt has read a part of it.
-pub struct BufferBudget(Cell<usize>);
+pub struct BufferBudget {
+    total: usize,
+    left: Cell<usize>,
+}
 
 /// Bytes reserved for one body; returned to the budget when dropped.
 pub struct BufferReservation {
@@ -22,7 +25,7 @@
 impl BufferBudget {
     /// Creates a budget of `bytes`.
     pub fn new(bytes: usize) -> Rc<Self> {
-        Rc::new(BufferBudget(Cell::new(bytes)))
+        Rc::new(BufferBudget { total: bytes, left: Cell::new(bytes) })
     }
 
     /// Reserves memory for a body of `length` bytes, or for the longest buffered one if the length is unknown.
@@ -30,8 +33,19 @@
     pub fn reserve(self: &Rc<Self>, length: Option<u64>) -> Option<BufferReservation> {
         let length = length.unwrap_or(MAX_BUFFERED_BODY_BYTES as u64);
         let bytes = usize::try_from(length).ok().filter(|bytes| *bytes <= MAX_BUFFERED_BODY_BYTES)?;
-        let left = self.0.get().checked_sub(bytes)?;
-        self.0.set(left);
+        self.take(bytes, 0)
+    }
+
+    /// Reserves memory for a part of a streamed request that is received before a backend takes it. Returns `None` if
+    /// less than half of the budget would be left, which is kept for bodies and responses that are buffered whole.
+    pub fn reserve_read_ahead(self: &Rc<Self>, bytes: usize) -> Option<BufferReservation> {
+        self.take(bytes, self.total / 2)
+    }
+
+    /// Takes `bytes` if at least `kept` bytes are left after that.
+    fn take(self: &Rc<Self>, bytes: usize, kept: usize) -> Option<BufferReservation> {
+        let left = self.left.get().checked_sub(bytes).filter(|left| *left >= kept)?;
+        self.left.set(left);
         Some(BufferReservation { budget: self.clone(), bytes })
     }
 }
@@ -41,13 +55,13 @@
     pub fn shrink(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
         self.bytes -= excess;
-        self.budget.0.update(|left| left + excess);
+        self.budget.left.update(|left| left + excess);
     }
 }
 
 impl Drop for BufferReservation {
     fn drop(&mut self) {
-        self.budget.0.update(|left| left + self.bytes);
+        self.budget.left.update(|left| left + self.bytes);
     }
 }
 
--- a/src/bin/proxy/body/mod.rs
+++ b/src/bin/proxy/body/mod.rs
@@ -3,11 +3,16 @@
 //! - [`buffer_budget`] bounds the memory of all buffered bodies together.
 //! - [`rate_floor`] reads a body and fails it when its sender is too slow.
 //! - [`remaining`] streams the unbuffered part of a request's body to the one attempt that can send it.
+//! - [`arrival`] tells when a body's bytes arrived, although nothing may have read them.
+//! - [`read_ahead`] holds what was received of it before the attempt could take it.
 //!
-//! A streamed body is read from one side only as fast as the other side accepts it.
+//! A streamed response is read only as fast as its client accepts it, a streamed request as far ahead of its backend as
+//! the budget allows.
 
+mod arrival;
 mod buffer_budget;
 mod rate_floor;
+mod read_ahead;
 mod remaining;
 
 pub use buffer_budget::{BufferBudget, BufferReservation};
--- a/src/bin/proxy/body/remaining.rs
+++ b/src/bin/proxy/body/remaining.rs
@@ -1,26 +1,35 @@
-//! The part of a request's body that was not buffered.
+//! The part of a request's body that was not buffered when the request was read.
 //!
-//! The part is streamed once, to one attempt, as it is received. The request and the attempt share it: the request
-//! waits for its end, the attempt reads it.
+//! The request and the one attempt that sends this part share it. The client's connection receives it as it arrives,
+//! ahead of the attempt within the limits of [`ReadAhead`]; the attempt takes it from there. While nothing more may be
+//! received, the rest waits in the system's buffers, which slows its client, and the arrival of the last byte is
+//! seen from the number of bytes that wait there.
 
 use super::MAX_BODY_BYTES;
+use super::arrival::BodyArrival;
+use super::buffer_budget::BufferBudget;
 use super::rate_floor::RateLimitedBody;
+use super::read_ahead::ReadAhead;
 use crate::io::Client;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
-use std::rc::Weak;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
+
+/// Interval at which a body that is not received checks for memory and for the arrival of its last byte.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The state of a streamed body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyState {
-    /// A part of the body has been received.
+    /// The last byte has not arrived.
     InProgress,
-    /// The complete body has been received, the last byte at this time.
+    /// The last byte has arrived, at this time. It may still wait in the system's buffers.
     Complete(Instant),
     /// No more will be received: the client stopped or left, or the body is too long or was withdrawn.
     Broken,
@@ -28,27 +37,42 @@
 
 /// The part of a request's body that was not buffered.
 pub struct RemainingBody {
-    /// The body to read; `None` once it has ended or was withdrawn.
-    body: RefCell<Option<RateLimitedBody>>,
+    /// The body to receive; `None` once it has ended or was withdrawn.
+    source: RefCell<Option<RateLimitedBody>>,
+    received: RefCell<ReadAhead>,
     length: Option<u64>,
+    arrival: BodyArrival,
     state: Cell<BodyState>,
     state_changed: Notify,
+    /// The attempt that waits for data.
+    waiting_attempt: RefCell<Option<Waker>>,
+    /// Notified when the attempt took data or began to wait for it.
+    demand: Notify,
     was_passed_on: Cell<bool>,
-    client: Weak<Client>,
     /// Time for which the client waits for the response after the last byte of the body.
     pub client_timeout: Duration,
 }
 
 impl RemainingBody {
-    /// Wraps the unread part of `body`.
-    pub fn new(body: RateLimitedBody, client_timeout: Duration, client: Weak<Client>) -> Self {
+    /// Wraps the unread part of `body`, which begins at `begins_at` in the stream of `client`.
+    pub fn new(
+        body: RateLimitedBody,
+        client_timeout: Duration,
+        client: &Rc<Client>,
+        begins_at: Option<u64>,
+        budget: Rc<BufferBudget>,
+    ) -> Self {
+        let length = body.announced_bytes_left();
         RemainingBody {
-            length: body.announced_bytes_left(),
-            body: RefCell::new(Some(body)),
+            length,
+            source: RefCell::new(Some(body)),
+            received: RefCell::new(ReadAhead::new(budget)),
+            arrival: BodyArrival::new(client, begins_at, length),
             state: Cell::new(BodyState::InProgress),
             state_changed: Notify::new(),
+            waiting_attempt: RefCell::new(None),
+            demand: Notify::new(),
             was_passed_on: Cell::new(false),
-            client,
             client_timeout,
         }
     }
@@ -63,11 +87,21 @@
         self.state.get()
     }
 
-    /// Returns whether an attempt has read from the body, after which the request cannot be sent again.
+    /// Returns whether an attempt has taken data, after which the request cannot be sent again.
     pub fn was_passed_on(&self) -> bool {
         self.was_passed_on.get()
     }
 
+    /// Returns whether the complete body was received, so that the next bytes of the client belong to its next request.
+    pub fn is_received(&self) -> bool {
+        matches!(self.state(), BodyState::Complete(_)) && self.source.borrow().is_none()
+    }
+
+    /// Returns whether the attempt has taken the complete body.
+    pub fn is_taken(&self) -> bool {
+        self.is_received() && self.received.borrow().is_empty()
+    }
+
     /// Waits until the body is complete or broken, and returns that state.
     pub async fn settled(&self) -> BodyState {
         while self.state() == BodyState::InProgress {
@@ -76,48 +110,111 @@
         self.state()
     }
 
-    /// Takes the body away from the attempt that reads it, so that the caller can drain the rest. Marks an
-    /// incomplete body as broken.
+    /// Takes the body away from the attempt that sends it, so that the caller can drain the rest. Marks a body that
+    /// the attempt has not taken completely as broken.
     pub fn withdraw(&self) -> Option<RateLimitedBody> {
-        let body = self.body.borrow_mut().take();
-        if self.state() == BodyState::InProgress {
-            self.settle(BodyState::Broken);
+        let rest = self.source.borrow_mut().take();
+        if rest.is_some() || !self.is_taken() {
+            self.fail();
         }
-        body
+        rest
     }
 
-    fn settle(&self, state: BodyState) {
-        self.state.set(state);
-        self.state_changed.notify_waiters();
+    /// Receives the body as it arrives, until it is complete or broken. Only the client's connection may call this.
+    ///
+    /// A client that expects a `100 Continue` gets it when an attempt asks for the body.
+    pub async fn receive(&self, expects_continue: bool) {
+        if expects_continue {
+            self.wait_until_invited().await;
+        }
+        loop {
+            self.wait_for_room().await;
+            if poll_fn(|cx| self.poll_receive(cx)).await {
+                return;
+            }
+        }
+    }
+
+    /// Waits until an attempt asks for the body, or the client sends it unasked.
+    async fn wait_until_invited(&self) {
+        while self.waiting_attempt.borrow().is_none() && !self.arrival.has_begun() {
+            self.wait_and_check_arrival().await;
+        }
+    }
+
+    /// Waits until more may be received.
+    async fn wait_for_room(&self) {
+        while !self.may_receive() {
+            self.wait_and_check_arrival().await;
+        }
+    }
+
+    /// Returns whether more may be received: for an attempt that waits, or ahead of it while the arrival of the last
+    /// byte is not known.
+    fn may_receive(&self) -> bool {
+        let mut received = self.received.borrow_mut();
+        let is_wanted = received.is_empty() && self.waiting_attempt.borrow().is_some();
+        is_wanted || self.state() == BodyState::InProgress && received.reserve()
+    }
+
+    /// Waits for demand or for the check interval, and then checks whether the last byte has arrived.
+    async fn wait_and_check_arrival(&self) {
+        if self.state() != BodyState::InProgress {
+            return self.demand.notified().await;
+        }
+        tokio::select! {
+            () = self.demand.notified() => {}
+            () = sleep(ARRIVAL_CHECK_INTERVAL) => {}
+        }
+        self.arrival.update();
+        if self.arrival.has_ended() {
+            self.complete();
+        }
+    }
+
+    /// Receives the next piece. Returns whether the body has ended.
+    fn poll_receive(&self, cx: &mut Context<'_>) -> Poll<bool> {
+        let mut source = self.source.borrow_mut();
+        let Some(body) = source.as_mut() else { return Poll::Ready(true) };
+        let piece = match ready!(body.poll_next(cx)) {
+            Ok(piece) if body.received_bytes() <= MAX_BODY_BYTES => piece,
+            _ => {
+                *source = None;
+                self.fail();
+                return Poll::Ready(true);
+            }
+        };
+        let has_ended = piece.is_none() || body.is_complete();
+        if has_ended {
+            *source = None;
+        }
+        if let Some(piece) = piece {
+            self.received.borrow_mut().push(piece);
+        }
+        if has_ended {
+            self.received.borrow_mut().finish();
+            self.complete();
+        }
+        self.wake_attempt();
+        Poll::Ready(has_ended)
     }
 
-    /// Polls for the next chunk of data for the attempt that sends the body; the chunk is `None` at the end.
+    /// Takes the next piece for the attempt that sends the body; it is `None` at the end.
     ///
-    /// Fails with `BrokenPipe` once the body is broken or withdrawn, with `FileTooLarge` past [`MAX_BODY_BYTES`]
-    /// bytes, and with the errors of [`RateLimitedBody::poll_next`].
+    /// Fails with `BrokenPipe` once the body is broken or withdrawn.
     pub fn poll_next(&self, cx: &mut Context<'_>) -> Poll<io::Result<Option<Bytes>>> {
-        let mut slot = self.body.borrow_mut();
-        let Some(body) = slot.as_mut() else {
-            let is_complete = matches!(self.state(), BodyState::Complete(_));
-            return Poll::Ready(if is_complete { Ok(None) } else { Err(io::ErrorKind::BrokenPipe.into()) });
-        };
-        let Poll::Ready(next) = body.poll_next(cx) else { return Poll::Pending };
-        self.was_passed_on.set(true);
-        let is_too_long = body.received_bytes() > MAX_BODY_BYTES;
-        match next {
-            Ok(data) if !is_too_long => {
-                if data.is_none() || body.is_complete() {
-                    *slot = None;
-                    self.complete()?;
-                }
-                Poll::Ready(Ok(data))
-            }
-            failed => {
-                *slot = None;
-                self.settle(BodyState::Broken);
-                Poll::Ready(failed.and(Err(io::ErrorKind::FileTooLarge.into())))
-            }
+        if self.state() == BodyState::Broken {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
+        let piece = self.received.borrow_mut().pop();
+        if piece.is_some() || self.is_received() {
+            self.was_passed_on.set(true);
+            self.demand.notify_one();
+            return Poll::Ready(Ok(piece));
+        }
+        self.waiting_attempt.replace(Some(cx.waker().clone()));
+        self.demand.notify_one();
+        Poll::Pending
     }
 
     /// Records the arrival of the last byte.
@@ -125,12 +222,29 @@
     /// A client may send a long body and leave. If the system's buffers cannot hold the whole body, the end of the
     /// stream is visible only with the last byte. The body is then marked as broken, so that no call is made for a
     /// client that left.
-    fn complete(&self) -> io::Result<()> {
-        if self.client.upgrade().is_none_or(|client| client.has_left()) {
-            self.settle(BodyState::Broken);
-            return Err(io::ErrorKind::BrokenPipe.into());
+    fn complete(&self) {
+        if self.arrival.client_has_left() {
+            self.fail();
+        } else if self.state() == BodyState::InProgress {
+            self.settle(BodyState::Complete(self.arrival.ended_at()));
+        }
+    }
+
+    /// Marks the body as broken and drops what was received of it.
+    fn fail(&self) {
+        self.received.borrow_mut().clear();
+        self.settle(BodyState::Broken);
+        self.wake_attempt();
+    }
+
+    fn settle(&self, state: BodyState) {
+        self.state.set(state);
+        self.state_changed.notify_waiters();
+    }
+
+    fn wake_attempt(&self) {
+        if let Some(waker) = self.waiting_attempt.take() {
+            waker.wake();
         }
-        self.settle(BodyState::Complete(Instant::now()));
-        Ok(())
     }
 }
--- a/src/bin/proxy/downstream/connection.rs
+++ b/src/bin/proxy/downstream/connection.rs
@@ -123,7 +123,7 @@
             had_request: Cell::new(false),
             ended_at: stream.ended_at(),
         };
-        let stream = Watched::new(stream);
+        let stream = Watched::observing(stream, client.bytes_read());
         let progress = stream.progress();
         progress.await_head();
         let source = RequestSource { over_limit, progress: &progress, client: &client };
--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -14,7 +14,7 @@
 use hyper::header::EXPECT;
 use hyper::{Request, StatusCode};
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, pending};
 use std::pin::pin;
 use std::rc::Rc;
 use tokio::task::spawn_local;
@@ -50,11 +50,12 @@
             has_body: !request.body().is_end_stream(),
             expects_continue: request.headers().contains_key(EXPECT),
         };
+        let body_begins_at = source.progress.take_head_end();
         let readiness = self.readiness();
         let parsed = if request.uri().path() == "/health/ready" {
             Err(Box::new(empty_response(readiness)))
         } else {
-            self.read_request(request, source).await
+            self.read_request(request, source, body_begins_at).await
         };
         let reply = match parsed {
             // Bytes of an unread body would be parsed as the next request.
@@ -108,17 +109,24 @@
                 end = &mut ended => return end,
                 state = body.settled() => {
                     trace.body_ended(state);
-                    record_body_end(state, &mut record, source);
+                    if state != BodyState::Broken {
+                        // From here on the request must be answered.
+                        record.complete();
+                    }
                 }
             }
             ended.await
         };
-        let end = end_or_client_left(complete_or_ended, source.client).await;
+        let end = tokio::select! {
+            biased;
+            never = receive_body(&body, announced, source) => match never {},
+            end = end_or_client_left(complete_or_ended, source.client) => end,
+        };
         let end = match body.state() {
             BodyState::Complete(at) => self.fail_late_stream(end, at),
             _ => end,
         };
-        trace.answered(respond_with_unread_body(end, record, &body, announced))
+        trace.answered(respond_with_unread_body(end, record, &body, announced, source))
     }
 
     /// Turns a streamed response into an exceeded deadline if the request was completed too late after the stop
@@ -152,14 +160,15 @@
     }
 }
 
-/// Records that a streamed request body is complete or broken. After a complete body the request must be answered,
-/// and the next bytes belong to the head of another request.
-fn record_body_end(state: BodyState, record: &mut RequestRecord, source: RequestSource<'_>) {
-    if state != BodyState::Broken {
+/// Receives a streamed request body and never returns. After a complete body the next bytes belong to the head of
+/// another request.
+async fn receive_body(body: &RemainingBody, announced: Announced, source: RequestSource<'_>) -> Infallible {
+    body.receive(announced.expects_continue).await;
+    if body.is_received() {
         source.client.set_request_complete(true);
         source.progress.await_head();
-        record.complete();
     }
+    pending().await
 }
 
 /// Responds to a request whose body was not buffered, and drains what was not read of it.
@@ -172,11 +181,13 @@
     record: RequestRecord,
     body: &RemainingBody,
     announced: Announced,
+    source: RequestSource<'_>,
 ) -> Reply {
     let unread = if matches!(end, RequestEnd::Served(_)) { None } else { body.withdraw() };
     match unread {
         Some(_) if announced.expects_continue && !body.was_passed_on() => close_after(respond(end, record)),
         Some(unread) => {
+            source.progress.ignore_heads();
             spawn_local(unread.drain());
             respond(end, record)
         }
--- a/src/bin/proxy/downstream/read_request.rs
+++ b/src/bin/proxy/downstream/read_request.rs
@@ -47,21 +47,25 @@
 }
 
 impl Downstream {
-    /// Reads a request, and its body if that is small. Fails with the error response to an invalid request.
+    /// Reads a request, and its body if that is small. The body begins at `body_begins_at` in the client's stream. Fails with the error response to an invalid request.
     pub(super) async fn read_request(
         &self,
         request: Request<Incoming>,
         source: RequestSource<'_>,
+        body_begins_at: Option<u64>,
     ) -> Result<(ParsedRequest, RequestRecord), ErrorReply> {
         let (head, body) = request.into_parts();
         let checked = self.check_head(&head.method, &head.uri, &head.headers, body.is_end_stream())?;
         let BufferedBody { buffered, remaining, buffer_permit } =
             self.buffer_body(body, &head.headers).await?;
         let received_at = Instant::now();
-        let client = Rc::downgrade(source.client);
         let is_complete = remaining.is_none();
-        let remaining_body =
-            remaining.map(|body| Rc::new(RemainingBody::new(body, checked.client_timeout, client.clone())));
+        let remaining_body = remaining.map(|body| {
+            // Of a body that is partly buffered, the length is not known and the position not needed.
+            let begins_at = body_begins_at.filter(|_| buffered.is_empty());
+            let budget = self.buffer_budget.clone();
+            Rc::new(RemainingBody::new(body, checked.client_timeout, source.client, begins_at, budget))
+        });
         let mut record = self.counters.record(checked.class);
         let trace = RequestTrace::start(checked.id.clone(), checked.client_timeout, is_complete);
         if is_complete {
@@ -78,7 +82,7 @@
             buffered_body: buffered,
             remaining_body,
             trace: Rc::new(trace),
-            client,
+            client: Rc::downgrade(source.client),
             _buffer_permit: buffer_permit,
             client_deadline: received_at + checked.client_timeout,
         };
--- a/src/bin/proxy/io/client.rs
+++ b/src/bin/proxy/io/client.rs
@@ -7,6 +7,7 @@
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use rustix::io::ioctl_fionread;
 use std::cell::{Cell, RefCell};
 use std::future::{Future, poll_fn};
 use std::io;
@@ -14,7 +15,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::Interest;
+use tokio::io::{AsyncRead, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::sleep;
@@ -32,15 +33,37 @@
 
 /// The reading half of a client's stream, on which the end of the stream is detected.
 pub struct Client {
-    stream: RefCell<TokioIo<OwnedReadHalf>>,
-    ahead: RefCell<ReadAhead>,
+    stream: RefCell<TokioIo<CountingReader>>,
+    /// Number of bytes that the HTTP library was given.
+    bytes_read: Rc<Cell<u64>>,
+    ahead: RefCell<UnparsedBytes>,
     /// Whether the request has been read completely, so that unread bytes do not belong to it.
     request_complete: Cell<bool>,
 }
 
+/// The reading half of a TCP stream, which counts the bytes that are read asynchronously.
+struct CountingReader {
+    half: OwnedReadHalf,
+    bytes_read: Rc<Cell<u64>>,
+}
+
+impl AsyncRead for CountingReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut tokio::io::ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled_before = buf.filled().len();
+        let result = Pin::new(&mut self.half).poll_read(cx, buf);
+        let count = buf.filled().len() - filled_before;
+        self.bytes_read.update(|n| n + count as u64);
+        result
+    }
+}
+
 /// Bytes that were read before the HTTP library requested them.
 #[derive(Default)]
-struct ReadAhead {
+struct UnparsedBytes {
     bytes: BytesMut,
     /// Number of bytes that followed `bytes` and were discarded.
     discarded: u64,
@@ -48,7 +71,7 @@
     end: Option<io::Result<()>>,
 }
 
-impl ReadAhead {
+impl UnparsedBytes {
     /// Reads the available bytes up to the limit of the read-ahead buffer. With `discards`, reads and discards
     /// further bytes up to the limit of one check. Returns whether all available bytes were read without reaching
     /// the end of the stream.
@@ -84,15 +107,29 @@
     pub fn has_left(&self) -> bool {
         let stream = self.stream.borrow();
         let ahead = &mut *self.ahead.borrow_mut();
-        if ahead.fill(stream.inner(), self.request_complete.get()) {
+        let stream = &stream.inner().half;
+        if ahead.fill(stream, self.request_complete.get()) {
             return false;
         }
         // The system reports the end of the stream even while bytes before it are unread.
-        let mut ready = pin!(stream.inner().ready(Interest::READABLE));
+        let mut ready = pin!(stream.ready(Interest::READABLE));
         let ready = ready.as_mut().poll(&mut Context::from_waker(Waker::noop()));
         ahead.end.is_some() || matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Returns the number of bytes that have arrived from the client since it connected, read or not. Where the system
+    /// does not tell how many are unread, those are not counted.
+    pub fn arrived_bytes(&self) -> u64 {
+        let ahead = self.ahead.borrow();
+        let unread = ioctl_fionread(self.stream.borrow().inner().half.as_ref()).unwrap_or(0);
+        self.bytes_read.get() + ahead.bytes.len() as u64 + ahead.discarded + unread
+    }
+
+    /// Returns the counter of the bytes that the HTTP library was given.
+    pub fn bytes_read(&self) -> Rc<Cell<u64>> {
+        self.bytes_read.clone()
+    }
+
     /// Sets whether the client's request has been read completely, so that further bytes may be discarded.
     pub fn set_request_complete(&self, request_complete: bool) {
         self.request_complete.set(request_complete);
@@ -109,7 +146,7 @@
             let is_full = self.ahead.borrow().is_full();
             if !is_full {
                 // An error is reported by the next call of `has_left`.
-                let _ = poll_fn(|cx| self.stream.borrow().inner().as_ref().poll_read_ready(cx)).await;
+                let _ = poll_fn(|cx| self.stream.borrow().inner().half.as_ref().poll_read_ready(cx)).await;
             } else {
                 sleep(END_CHECK_INTERVAL).await;
             }
@@ -127,8 +164,11 @@
     /// Splits a TCP stream into its two directions.
     pub fn new(stream: TcpStream) -> Self {
         let (read, write) = stream.into_split();
+        let bytes_read = Rc::<Cell<u64>>::default();
+        let reader = CountingReader { half: read, bytes_read: bytes_read.clone() };
         let client = Client {
-            stream: RefCell::new(TokioIo::new(read)),
+            stream: RefCell::new(TokioIo::new(reader)),
+            bytes_read,
             ahead: RefCell::default(),
             request_complete: Cell::default(),
         };
@@ -152,6 +192,7 @@
             let n = buf.remaining().min(ahead.bytes.len());
             buf.put_slice(&ahead.bytes[..n]);
             ahead.bytes.advance(n);
+            self.client.bytes_read.update(|read| read + n as u64);
             return Poll::Ready(Ok(()));
         }
         match &ahead.end {
--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -46,6 +46,10 @@
     completed_requests: Rc<Cell<u64>>,
     /// The head that is being read, or the last one that was read.
     head: RefCell<Option<RequestHead>>,
+    /// Number of bytes read from the stream.
+    bytes_read: Rc<Cell<u64>>,
+    /// Number of bytes read up to the end of the last head.
+    head_ends_at: Cell<Option<u64>>,
 }
 
 impl Progress {
@@ -58,6 +62,16 @@
     /// Treats the next bytes that are read as the head of a request.
     pub fn await_head(&self) {
         self.head.replace(Some(RequestHead::default()));
+        self.head_ends_at.set(None);
+    }
+    /// Stops to observe the bytes that are read: where the next head begins is not known.
+    pub fn ignore_heads(&self) {
+        self.head.replace(None);
+        self.head_ends_at.set(None);
+    }
+    /// Takes the position in the stream of the first byte after the last head, if the head was observed.
+    pub fn take_head_end(&self) -> Option<u64> {
+        self.head_ends_at.take()
     }
     /// Returns whether the last head that was read has both a `Content-Length` and a `Transfer-Encoding`.
     pub fn has_conflicting_framing(&self) -> bool {
@@ -92,9 +106,10 @@
 }
 
 impl<S> Watched<S> {
-    /// Wraps a stream to observe it.
-    pub fn new(stream: S) -> Self {
-        Watched { stream, progress: Rc::default(), stall_timeout: None, is_quiet: None }
+    /// Wraps a stream to observe it; the stream itself counts the bytes that are read from it in `bytes_read`.
+    pub fn observing(stream: S, bytes_read: Rc<Cell<u64>>) -> Self {
+        let progress = Rc::new(Progress { bytes_read, ..Progress::default() });
+        Watched { stream, progress, stall_timeout: None, is_quiet: None }
     }
 
     /// Wraps a stream and counts the requests that are written completely in `completed_requests`. A request's
@@ -156,7 +171,10 @@
         let mut bytes = [0; HEAD_CHUNK];
         let mut chunk = ReadBuf::new(&mut bytes[..buf.remaining().min(HEAD_CHUNK)]);
         let read = Pin::new(&mut this.stream).poll_read(cx, chunk.unfilled());
-        head.read(chunk.filled());
+        let after_head = head.read(chunk.filled()) as u64;
+        if head.is_complete {
+            this.progress.head_ends_at.set(this.progress.bytes_read.get().checked_sub(after_head));
+        }
         buf.put_slice(chunk.filled());
         read
     }
--- a/src/bin/proxy/io/outgoing.rs
+++ b/src/bin/proxy/io/outgoing.rs
@@ -1,7 +1,7 @@
 //! The body of a request as it is written to a backend: first the buffered part, then the streamed one.
 
 use super::Progress;
-use crate::body::{BodyState, RemainingBody};
+use crate::body::RemainingBody;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
@@ -28,8 +28,7 @@
 
     /// Returns whether the HTTP library has taken the whole body.
     fn is_taken(&self) -> bool {
-        let is_complete = |remaining: &Rc<RemainingBody>| matches!(remaining.state(), BodyState::Complete(_));
-        self.buffered.is_empty() && self.remaining.as_ref().is_none_or(is_complete)
+        self.buffered.is_empty() && self.remaining.as_ref().is_none_or(|remaining| remaining.is_taken())
     }
 }
 
--- a/src/bin/proxy/io/request_head.rs
+++ b/src/bin/proxy/io/request_head.rs
@@ -23,11 +23,11 @@
 }
 
 impl RequestHead {
-    /// Processes the next bytes, up to the end of the head.
-    pub(super) fn read(&mut self, bytes: &[u8]) {
-        for &byte in bytes {
+    /// Processes the next bytes, up to the end of the head. Returns how many of them follow the head.
+    pub(super) fn read(&mut self, bytes: &[u8]) -> usize {
+        for (index, &byte) in bytes.iter().enumerate() {
             if self.is_complete {
-                return;
+                return bytes.len() - index;
             }
             if byte == b'\n' {
                 self.end_line();
@@ -35,6 +35,7 @@
                 self.line.push(byte.to_ascii_lowercase());
             }
         }
+        0
     }
 
     fn end_line(&mut self) {
--- a/src/bin/proxy/upstream/attempt.rs
+++ b/src/bin/proxy/upstream/attempt.rs
@@ -165,7 +165,7 @@
     call.trace.forwarded(target.address, timeout_ms);
     match link.sender.send_request(request).await {
         Ok(response) => Ok(response),
-        Err(_) if !call.is_complete() && call.is_broken() => Err(Outcome::NotSent),
+        Err(_) if call.is_broken() => Err(Outcome::NotSent),
         // Only the connection's progress shows whether the backend may have received the complete request.
         Err(_) if link.progress.is_written() => Err(Outcome::Reset),
         Err(_) => Err(Outcome::ConnectFailed),
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -84,17 +84,27 @@
     pub(super) async fn deadline_passed(&self, deadline: Instant) {
         let Some(body) = &self.remaining_body else { return sleep_until(deadline).await };
         match body.settled().await {
-            BodyState::Complete(at) => {
-                sleep_until(at + body.client_timeout - deadline_margin(body.client_timeout)).await
-            }
+            BodyState::Complete(_) => sleep_until(self.attempt_deadline(deadline)).await,
             _ => std::future::pending().await,
         }
     }
 
     /// Returns the time that a backend is told, in milliseconds, for an attempt with this deadline.
     pub(super) fn backend_timeout_ms(&self, deadline: Instant) -> u64 {
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        self.remaining_body.as_ref().map_or(remaining, |body| body.client_timeout).as_millis() as u64
+        let remaining = match &self.remaining_body {
+            Some(body) if !self.is_complete() => body.client_timeout,
+            _ => self.attempt_deadline(deadline).saturating_duration_since(Instant::now()),
+        };
+        remaining.as_millis() as u64
+    }
+
+    /// Returns the deadline of an attempt at a complete request. The balancer knows no deadline of a request whose body
+    /// was incomplete when the attempt began, and gives a distant one.
+    fn attempt_deadline(&self, deadline: Instant) -> Instant {
+        match &self.remaining_body {
+            Some(body) => deadline.min(self.client_deadline() - deadline_margin(body.client_timeout)),
+            None => deadline,
+        }
     }
 
     /// Builds the HTTP request for one attempt, whose body reports to `progress` how far it was written. Returns
--- a/tests/unit/proxy/body/buffer_budget.rs
+++ b/tests/unit/proxy/body/buffer_budget.rs
@@ -22,5 +22,5 @@
             .expect("budget for the longest body after the others were returned"),
     );
     drop(first);
-    assert_eq!(budget.0.get(), MAX_BUFFERED_BODY_BYTES + 1000);
+    assert_eq!(budget.left.get(), MAX_BUFFERED_BODY_BYTES + 1000);
 }
--- a/tests/unit/proxy/io.rs
+++ b/tests/unit/proxy/io.rs
@@ -13,7 +13,7 @@
     let (near, mut far) = duplex(1024);
     LocalSet::new()
         .run_until(async {
-            let watched = Watched::new(TokioIo::new(near));
+            let watched = Watched::observing(TokioIo::new(near), Rc::default());
             let progress = watched.progress();
             let (mut sender, connection) = handshake(watched).await.expect("a handshake without I/O");
             spawn_local(async move {
@@ -63,7 +63,7 @@
 async fn an_abandoned_request_is_not_written_further() {
     let (near, mut far) = duplex(1024);
     let run = async {
-        let watched = Watched::new(TokioIo::new(near));
+        let watched = Watched::observing(TokioIo::new(near), Rc::default());
         let progress = watched.progress();
         let (mut sender, connection) = handshake(watched).await.expect("a handshake without I/O");
         spawn_local(async move {
@@ -108,7 +108,7 @@
     // The peer stays open and reads nothing, so that only the timeout ends the write.
     assert!(!is_written_after(60_000, async |_| sleep(WRITE_STALL_TIMEOUT * 2).await).await);
     let (near, _far) = duplex(8);
-    let mut watched = Watched::new(TokioIo::new(near));
+    let mut watched = Watched::observing(TokioIo::new(near), Rc::default());
     let write = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, &[0; 8]));
     assert_eq!(write.await.expect("the pipe has room"), 8);
     let write = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, &[0; 8]));
