Let an abandoned attempt take nothing more of a streamed body

Cause, read from the code and not seen in a run: an attempt that is cancelled or times out before its request was written is abandoned, but its connection's task may still poll the body once and take a piece, which the next attempt would then lack. A body in chunks would go out shorter and look whole.

Change: a body whose writing was abandoned fails when it is polled.

Measured: io::tests::an_abandoned_request_takes_nothing_of_its_body fails without the change and passes with it.

--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -92,6 +92,10 @@
     pub fn abandon(&self) {
         self.is_abandoned.set(true);
     }
+    /// Returns whether writing was abandoned.
+    pub fn is_abandoned(&self) -> bool {
+        self.is_abandoned.get()
+    }
 }
 
 /// A stream that observes what is read from it and written to it.
--- a/src/bin/proxy/io/outgoing.rs
+++ b/src/bin/proxy/io/outgoing.rs
@@ -37,6 +37,10 @@
     type Error = io::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        // The next attempt may already send the streamed part.
+        if self.progress.is_abandoned() {
+            return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
+        }
         let buffered = std::mem::take(&mut self.buffered);
         let next = match &self.remaining {
             _ if !buffered.is_empty() => Ok(Some(buffered)),
--- a/tests/unit/proxy/io.rs
+++ b/tests/unit/proxy/io.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncReadExt, DuplexStream, duplex};
@@ -82,6 +83,16 @@
     LocalSet::new().run_until(run).await;
 }
 
+/// A request that was abandoned before its body was taken could take pieces that the next attempt sends.
+#[tokio::test]
+async fn an_abandoned_request_takes_nothing_of_its_body() {
+    let progress = Rc::<Progress>::default();
+    let mut body = Outgoing::new(vec![b'x'; 10].into(), None, progress.clone());
+    progress.abandon();
+    let frame = std::future::poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await;
+    assert!(frame.expect("a frame or an error").is_err(), "the body was taken");
+}
+
 #[test]
 fn conflicting_framing_headers_are_detected_for_any_chunk_size() {
     let has_conflict = |text: &str, chunk_size: usize| {
