Count a pipelined request's time from its arrival, behind one that waits

What callers saw: a request on the same connection behind a waiting one had its whole time anew once the earlier one was answered, and its backend was told the whole of it. (The protocol's clients send one request at a time.)

Cause: received_at was the moment at which the request was read, though its bytes had been read ahead by Client::has_left.

A request whose bytes had all come before it was read counts from then; one whose time has passed by then is refused without an attempt.

--- a/src/bin/proxy/downstream/read_request.rs
+++ b/src/bin/proxy/downstream/read_request.rs
@@ -4,10 +4,10 @@
 
 use super::Downstream;
 use super::handle::RequestSource;
-use super::respond::{Reply, empty_response};
+use super::respond::{Reply, empty_response, respond};
 use crate::body::{self, BufferReservation, RateLimitedBody, RemainingBody};
 use crate::counters::RequestRecord;
-use crate::engine::{ParsedRequest, millis};
+use crate::engine::{ParsedRequest, RequestEnd, millis};
 use crate::request_trace::RequestTrace;
 use crate::upstream::UpstreamRequest;
 use bytes::{Bytes, BytesMut};
@@ -58,7 +58,8 @@
         let checked = self.check_head(&head.method, &head.uri, &head.headers, body.is_end_stream())?;
         let BufferedBody { buffered, remaining, buffer_permit } =
             self.buffer_body(body, &head.headers).await?;
-        let received_at = Instant::now();
+        let received_ahead_at = source.client.received_ahead_at();
+        let received_at = received_ahead_at.unwrap_or_else(Instant::now);
         let is_complete = remaining.is_none();
         let remaining_body = remaining.map(|body| {
             // Of a body that is partly buffered, the length is not known and the position not needed.
@@ -94,6 +95,9 @@
             received_at,
             client_timeout: checked.client_timeout,
         };
+        if received_ahead_at.is_some() && is_complete && parsed.has_expired() {
+            return Err(Box::new(respond(RequestEnd::Rejected { retry_after: None }, record)));
+        }
         Ok((parsed, record))
     }
 
--- a/src/bin/proxy/engine/request.rs
+++ b/src/bin/proxy/engine/request.rs
@@ -52,12 +52,20 @@
     pub tenant: u16,
     /// The request's ordering key, if any.
     pub key: Option<String>,
-    /// The time at which the buffered part of the request had arrived.
+    /// The time at which the buffered part of the request had arrived; earlier than it was read if that was while an
+    /// earlier request was served.
     pub received_at: Instant,
     /// The client's timeout, which begins with the last byte of the request.
     pub client_timeout: Duration,
 }
 
+impl ParsedRequest {
+    /// Returns whether the client's timeout has passed for a request that has arrived completely.
+    pub fn has_expired(&self) -> bool {
+        self.received_at.elapsed() >= self.client_timeout
+    }
+}
+
 /// Whether a request awaits its answer. Answering consumes the channel, so that a request is answered at most once.
 pub(super) enum AnswerState {
     Pending(oneshot::Sender<RequestEnd>),
--- a/src/bin/proxy/io/client.rs
+++ b/src/bin/proxy/io/client.rs
@@ -3,8 +3,9 @@
 //! The HTTP library does not read from a stream while it holds bytes for a later request, and so misses an end of
 //! stream behind them. [`Client`] reads ahead, up to a limit, and keeps the bytes for the library.
 
-use crate::body::{HTTP_BUFFER_BYTES, MAX_BODY_BYTES};
-use bytes::{Buf, BytesMut};
+use super::ByteCount;
+use super::unparsed_bytes::UnparsedBytes;
+use bytes::Buf;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use rustix::io::ioctl_fionread;
@@ -18,25 +19,21 @@
 use tokio::io::{AsyncRead, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Interval at which a stream is checked for its end while the read-ahead buffer is full.
 ///
 /// The platform allows attempts for up to 100 ms after the client has left, whatever its deadline.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Size in bytes of one read into the read-ahead buffer.
-const READ_CHUNK: usize = 4096;
-
-/// Most bytes that one check reads and discards, so that no client can occupy the thread.
-const MAX_DISCARDED_PER_CHECK: u64 = 1 << 20;
-
 /// The reading half of a client's stream, on which the end of the stream is detected.
 pub struct Client {
     stream: RefCell<TokioIo<CountingReader>>,
     /// Number of bytes that the HTTP library was given.
     bytes_read: Rc<Cell<u64>>,
     ahead: RefCell<UnparsedBytes>,
+    /// The bytes that were read from the socket, as far as they have been checked.
+    received: Cell<ByteCount>,
     /// Whether the request has been read completely, so that unread bytes do not belong to it.
     request_complete: Cell<bool>,
 }
@@ -61,46 +58,6 @@
     }
 }
 
-/// Bytes that were read before the HTTP library requested them.
-#[derive(Default)]
-struct UnparsedBytes {
-    bytes: BytesMut,
-    /// Number of bytes that followed `bytes` and were discarded.
-    discarded: u64,
-    /// The end of the stream or its error, once reached.
-    end: Option<io::Result<()>>,
-}
-
-impl UnparsedBytes {
-    /// Reads the available bytes up to the limit of the read-ahead buffer. With `discards`, reads and discards
-    /// further bytes up to the limit of one check. Returns whether all available bytes were read without reaching
-    /// the end of the stream.
-    ///
-    /// A client could keep sending after its request; after [`MAX_BODY_BYTES`] discarded bytes the stream counts as
-    /// ended.
-    fn fill(&mut self, stream: &OwnedReadHalf, discards: bool) -> bool {
-        let mut chunk = [0; READ_CHUNK];
-        let max_discarded = self.discarded + MAX_DISCARDED_PER_CHECK;
-        while self.end.is_none() && (!self.is_full() || discards && self.discarded < max_discarded) {
-            match stream.try_read(&mut chunk) {
-                Ok(0) => self.end = Some(Ok(())),
-                Ok(n) if self.discarded == 0 && !self.is_full() => self.bytes.extend_from_slice(&chunk[..n]),
-                Ok(n) => self.discarded += n as u64,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
-                Err(error) => self.end = Some(Err(error)),
-            }
-        }
-        if self.discarded > MAX_BODY_BYTES {
-            self.end = Some(Err(io::ErrorKind::FileTooLarge.into()));
-        }
-        false
-    }
-
-    fn is_full(&self) -> bool {
-        self.bytes.len() >= HTTP_BUFFER_BYTES
-    }
-}
-
 impl Client {
     /// Returns whether the client has closed its connection or its sending direction, has reset the connection, or
     /// has sent more than [`MAX_BODY_BYTES`] after its request. Checks the socket, so that the answer is current.
@@ -108,7 +65,9 @@
         let stream = self.stream.borrow();
         let ahead = &mut *self.ahead.borrow_mut();
         let stream = &stream.inner().half;
-        if ahead.fill(stream, self.request_complete.get()) {
+        let has_read_all = ahead.fill(stream, self.request_complete.get());
+        self.count_received(ahead);
+        if has_read_all {
             return false;
         }
         // The system reports the end of the stream even while bytes before it are unread.
@@ -120,9 +79,25 @@
     /// Returns the number of bytes that have arrived from the client since it connected, read or not. Where the system
     /// does not tell how many are unread, those are not counted.
     pub fn arrived_bytes(&self) -> u64 {
-        let ahead = self.ahead.borrow();
         let unread = ioctl_fionread(self.stream.borrow().inner().half.as_ref()).unwrap_or(0);
-        self.bytes_read.get() + ahead.bytes.len() as u64 + ahead.discarded + unread
+        self.received_bytes(&self.ahead.borrow()) + unread
+    }
+
+    fn received_bytes(&self, ahead: &UnparsedBytes) -> u64 {
+        self.bytes_read.get() + ahead.count()
+    }
+
+    fn count_received(&self, ahead: &UnparsedBytes) {
+        let bytes = self.received_bytes(ahead);
+        self.received.update(|received| received.grown_to(bytes));
+    }
+
+    /// Returns when the last byte was received of a request that was just read, if that was while an earlier request
+    /// was served. Bytes of a later request count too, which can only make the time later.
+    pub fn received_ahead_at(&self) -> Option<Instant> {
+        let before = self.received.get();
+        self.count_received(&self.ahead.borrow());
+        (self.received.get().bytes == before.bytes).then_some(before.grew_at)
     }
 
     /// Returns the counter of the bytes that the HTTP library was given.
@@ -170,6 +145,7 @@
             stream: RefCell::new(TokioIo::new(reader)),
             bytes_read,
             ahead: RefCell::default(),
+            received: Cell::new(ByteCount::new(0)),
             request_complete: Cell::default(),
         };
         ClientStream { client: Rc::new(client), write: TokioIo::new(write) }
--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -5,10 +5,13 @@
 //! request that uses the connection. [`ClientStream`] also detects that a client has left; [`Outgoing`] is the body
 //! of a request that is written to a backend.
 
+mod byte_count;
 mod client;
 mod outgoing;
 mod request_head;
+mod unparsed_bytes;
 
+pub use byte_count::ByteCount;
 pub use client::{Client, ClientStream};
 pub use outgoing::Outgoing;
 
--- a/tests/long_requests.rs
+++ b/tests/long_requests.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
@@ -36,8 +36,17 @@
 impl WaitingBackend {
     /// Lets the connects come up, which happens when the system repeats them, a second after their start or later.
     async fn take_connections(self) -> (Arc<BackendControl>, TestBackend) {
+        self.wait_for_connect().await;
+        self.start().await
+    }
+
+    async fn wait_for_connect(&self) {
         let addr = self.listener.local_addr().expect("listener is bound");
         within_deadline(wait_for_connecting(addr)).await;
+    }
+
+    /// Takes the connections that filled the queue, and all later ones.
+    async fn start(self) -> (Arc<BackendControl>, TestBackend) {
         for _ in &self.queued {
             within_deadline(self.listener.accept()).await.expect("a queued connection");
         }
@@ -207,3 +216,50 @@
         assert!(["200", "503"].contains(&status.as_str()), "{status}");
     }
 }
+
+/// The time of a request that was pipelined behind a waiting one ran from when it was read.
+#[tokio::test]
+async fn the_time_of_a_pipelined_request_runs_while_an_earlier_one_waits() {
+    let (proxy, _backend) = start_waiting(192).await;
+    let mut pieces = request_pieces(Length, 90_000, 2 * CLIENT_TIMEOUT, "");
+    pieces.extend(request_pieces(Length, 10, 2 * CLIENT_TIMEOUT, ""));
+    let (client, _) = send(&proxy, &pieces, Duration::ZERO).await;
+    let arrived = Instant::now();
+    let mut answers = BufReader::new(client).lines();
+    let mut count = 0;
+    while count < 2 {
+        let line =
+            within_deadline(answers.next_line()).await.expect("connection is open").expect("two answers");
+        count += usize::from(line.starts_with("HTTP/1.1 50"));
+    }
+    let took = arrived.elapsed();
+    assert!(took < 2 * CLIENT_TIMEOUT + ANSWER_GRACE, "answered {took:?} after the last byte");
+}
+
+/// A client that leaves while its long request waits: nothing is sent for it.
+#[tokio::test]
+async fn a_waiting_long_request_ends_with_its_client() {
+    let (proxy, backend) = start_waiting(192).await;
+    for framing in [Length, Chunks(10_000)] {
+        let pieces = request_pieces(framing, 90_000, Duration::from_secs(20), "");
+        let (client, _) = send(&proxy, &pieces, Duration::ZERO).await;
+        backend.wait_for_connect().await;
+        drop(client);
+    }
+    let (control, _backend) = backend.start().await;
+    assert_eq!(proxy.call("look").await.0, 200);
+    assert_eq!(control.requests.borrow().len(), 1, "a request was sent for a client that had left");
+}
+
+/// A stop of the process ends a long request that waits, and does not wait for its connect.
+#[rstest]
+#[tokio::test]
+async fn a_stop_answers_a_waiting_long_request(#[values(Length, Chunks(10_000))] framing: Framing) {
+    let (mut proxy, _backend) = start_waiting(192).await;
+    let pieces = request_pieces(framing, 90_000, Duration::from_secs(20), "");
+    let (mut client, _) = send(&proxy, &pieces, Duration::ZERO).await;
+    proxy.terminate().await;
+    let status = status(&mut client).await;
+    assert!(["502", "503", "504"].contains(&status.as_str()), "{status}");
+    assert_eq!(proxy.wait_for_exit().await.code(), Some(0));
+}
