--- a/src/bin/proxy/io/client.rs
+++ b/src/bin/proxy/io/client.rs
@@ -60,7 +60,8 @@
 
 impl Client {
     /// Returns whether the client has closed its connection or its sending direction, has reset the connection, or
-    /// has sent more than [`MAX_BODY_BYTES`] after its request. Checks the socket, so that the answer is current.
+    /// has sent more than [`crate::body::MAX_BODY_BYTES`] after its request. Checks the socket, so that the answer is
+    /// current.
     pub fn has_left(&self) -> bool {
         let stream = self.stream.borrow();
         let ahead = &mut *self.ahead.borrow_mut();
