--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -5,10 +5,13 @@
 //! request that uses the connection. [`ClientStream`] also detects that a client has left; [`Outgoing`] is the body
 //! of a request that is written to a backend.
 
+mod byte_count;
 mod client;
 mod outgoing;
 mod request_head;
+mod unparsed_bytes;
 
+pub use byte_count::ByteCount;
 pub use client::{Client, ClientStream};
 pub use outgoing::Outgoing;
 
@@ -92,6 +95,10 @@
     pub fn abandon(&self) {
         self.is_abandoned.set(true);
     }
+    /// Returns whether writing was abandoned.
+    pub fn is_abandoned(&self) -> bool {
+        self.is_abandoned.get()
+    }
 }
 
 /// A stream that observes what is read from it and written to it.
