Let the leaks test read a peak that the system tells a little lower

Cause: the test subtracts two readings of VmHWM. The kernel sums resident pages with a small error, so a later reading may be lower; at the edge of a MB the difference underflows. Trace: 59,232 readings of a proxy under resets in 15 s (kernel 6.18), 28 were lower than the one before, by 96 kB at most. A lower peak is no growth, so the difference now ends at 0; the bound on growth is as it was.

--- a/tests/leaks/leak_check.rs
+++ b/tests/leaks/leak_check.rs
@@ -94,7 +94,9 @@
             }
         }
         self.assert_resources_released().await;
-        let grown = self.proxy.peak_memory_mb() - early_peak.expect("at least a tenth of the disconnects");
+        // The system counts resident pages with a small error, so that a later reading of the peak may be lower.
+        let early_peak = early_peak.expect("at least a tenth of the disconnects");
+        let grown = self.proxy.peak_memory_mb().saturating_sub(early_peak);
         assert!(grown <= MAX_GROWTH_MB, "{grown} MB more than after a tenth of the disconnects");
     }
 
