Receive the rest of a call's body at the registry after an early answer

Cause: hyper closes a connection whose request body was dropped unread; the system answers what still comes with a reset, and the caller's write fails.

--- a/src/bin/registry/http/body.rs
+++ b/src/bin/registry/http/body.rs
@@ -1,9 +1,10 @@
 //! Reads the bodies of calls within bounds on their length, their transfer time and their total memory.
 
 use super::answer::Rejection;
+use super::request_body::RequestBody;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::{Request, StatusCode};
 use serde::de::DeserializeOwned;
 use std::error::Error;
@@ -67,7 +68,7 @@
     }
 
     /// Reads the body of a request.
-    pub(super) async fn bytes(&self, request: Request<Incoming>) -> Result<Bytes, BodyError> {
+    pub(super) async fn bytes(&self, request: Request<RequestBody>) -> Result<Bytes, BodyError> {
         let max_bytes = self.max_bytes;
         let length = request.body().size_hint().exact().unwrap_or(max_bytes as u64).min(max_bytes as u64);
         let permit = self.budget_kib.try_acquire_many((length / 1024 + 1) as u32);
@@ -82,7 +83,10 @@
     }
 
     /// Reads the body of a request and decodes it as JSON.
-    pub(super) async fn json<T: DeserializeOwned>(&self, request: Request<Incoming>) -> Result<T, BodyError> {
+    pub(super) async fn json<T: DeserializeOwned>(
+        &self,
+        request: Request<RequestBody>,
+    ) -> Result<T, BodyError> {
         let body = self.bytes(request).await?;
         Ok(serde_json::from_slice(&body)?)
     }
--- a/src/bin/registry/http/leases.rs
+++ b/src/bin/registry/http/leases.rs
@@ -2,10 +2,10 @@
 
 use super::answer::{Answer, HandlerResult, Rejection, encoded};
 use super::context::Context;
+use super::request_body::RequestBody;
 use super::write_reply::write_and_answer;
 use crate::lease::{Lease, LeaseRequest};
 use crate::writer::{Shared, WriteOperation};
-use hyper::body::Incoming;
 use hyper::{Method, Request};
 use serde_json::json;
 
@@ -17,7 +17,7 @@
 }
 
 /// Handles PUT, which acquires a lease without a token and renews it with one, and DELETE, which releases it.
-pub(super) async fn request_lease(request: Request<Incoming>, context: &Context) -> HandlerResult {
+pub(super) async fn request_lease(request: Request<RequestBody>, context: &Context) -> HandlerResult {
     let is_release = request.method() == Method::DELETE;
     let lease_request: LeaseRequest = context.write_bodies.json(request).await?;
     if is_release != lease_request.ttl_ms.is_none() {
--- a/src/bin/registry/http/lists.rs
+++ b/src/bin/registry/http/lists.rs
@@ -3,10 +3,10 @@
 use super::answer::{HandlerResult, Rejection, encoded, encoding_failed};
 use super::context::Context;
 use super::query::{WatchQuery, parse_service, watch};
+use super::request_body::RequestBody;
 use super::write_reply::write_and_answer;
 use crate::writer::{Fence, Shared, WriteOperation};
 use hyper::Request;
-use hyper::body::Incoming;
 use load_balancer::catalog::Entry;
 use serde::Deserialize;
 use std::time::Duration;
@@ -64,7 +64,7 @@
 /// Handles PUT: registers, renews or deletes entries.
 pub(super) async fn write_entries(
     query: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     context: &Context,
 ) -> HandlerResult {
     let service = parse_service(query).map_err(Rejection::bad_request)?;
--- a/src/bin/registry/http/mod.rs
+++ b/src/bin/registry/http/mod.rs
@@ -9,6 +9,7 @@
 mod leases;
 mod lists;
 mod query;
+mod request_body;
 mod route_table;
 mod server;
 mod write_reply;
@@ -18,15 +19,15 @@
 
 use answer::{HandlerResult, Rejection};
 use context::Context;
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
+use request_body::RequestBody;
 use route_table::RouteTablePath;
 
 /// Reason answered to a call for an unknown path.
 const NO_PATH: &str = "no such path; the list is at /registry/instances, the leases are at /registry/leases";
 
 /// Dispatches a call to its handler.
-async fn route(request: Request<Incoming>, context: &Context) -> HandlerResult {
+async fn route(request: Request<RequestBody>, context: &Context) -> HandlerResult {
     let path = request.uri().path().to_string();
     let method = request.method().clone();
     let query = request.uri().query().unwrap_or("").to_string();
--- a/src/bin/registry/http/route_table.rs
+++ b/src/bin/registry/http/route_table.rs
@@ -5,10 +5,10 @@
 use super::answer::{HandlerResult, Rejection, encoded, encoding_failed, json_page};
 use super::context::Context;
 use super::query::{WatchQuery, watch};
+use super::request_body::RequestBody;
 use super::write_reply::write_and_answer;
 use crate::route_table::{RouteTableService, SegmentError};
 use crate::writer::{Fence, WriteOperation};
-use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
 use load_balancer::replay::BadSegment;
 use load_balancer::route_table::{Proposal, Report, Revision, Weights};
@@ -61,7 +61,7 @@
 /// Dispatches a call to its handler by path and method.
 pub(super) async fn handle(
     path: RouteTablePath,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     service: &RouteTableService,
     context: &Context,
 ) -> HandlerResult {
@@ -84,7 +84,7 @@
 }
 
 /// PUT `/registry/routes`: proposes another table.
-async fn propose(request: Request<Incoming>, context: &Context) -> HandlerResult {
+async fn propose(request: Request<RequestBody>, context: &Context) -> HandlerResult {
     let body: ProposalBody = context.write_bodies.json(request).await?;
     let ProposalBody { from, weights, by, override_reason, fence } = body;
     if fence.duty != PROPOSER_DUTY {
@@ -123,7 +123,7 @@
 
 /// PUT `/registry/reports`: receives a proxy's report.
 async fn take_report(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     service: &RouteTableService,
     context: &Context,
 ) -> HandlerResult {
@@ -150,7 +150,7 @@
 
 /// PUT `/registry/traces`: stores a recorded segment, as the proxy packed it.
 async fn store_segment(
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     service: &RouteTableService,
     context: &Context,
 ) -> HandlerResult {
--- a/src/bin/registry/http/server.rs
+++ b/src/bin/registry/http/server.rs
@@ -2,6 +2,7 @@
 
 use super::answer::Answer;
 use super::context::{Context, Limits};
+use super::request_body::RequestBody;
 use super::route;
 use crate::writer::{Shared, WriteQueue};
 use hyper::Request;
@@ -68,5 +69,5 @@
 }
 
 async fn handle(request: Request<Incoming>, context: Arc<Context>) -> Result<Answer, Infallible> {
-    Ok(route(request, &context).await.unwrap_or_else(Answer::from))
+    Ok(route(request.map(RequestBody::new), &context).await.unwrap_or_else(Answer::from))
 }
--- a/tests/registry/limits.rs
+++ b/tests/registry/limits.rs
@@ -3,8 +3,9 @@
 
 use super::{LIST_PATH, dial};
 use crate::registry_rig::*;
+use rstest::rstest;
 use serde_json::{Value, json};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Maximum number of entries in one write.
@@ -126,3 +127,33 @@
     .await;
     assert_eq!(host_names(&registry.get("").await).len(), 5);
 }
+
+/// An answer before the end of the body was lost in a reset, since the registry closed the connection over unread bytes.
+#[rstest]
+#[case::too_long("PUT", LIST_PATH, MAX_BODY_BYTES + (1 << 20), "413")]
+#[case::wrong_method("POST", LIST_PATH, 1 << 20, "405")]
+#[case::unknown_path("PUT", "/registry/nothing", 1 << 20, "404")]
+#[tokio::test]
+async fn an_answer_before_the_end_of_the_body_reaches_its_caller(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] length: usize,
+    #[case] status: &str,
+) {
+    let registry = Registry::start(&data_dir(&format!("early-{status}")), &[]).await;
+    let mut stream =
+        within_deadline(TcpStream::connect(registry.address)).await.expect("the registry accepts");
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: r\r\nContent-Length: {length}\r\n\r\n");
+    let rest = 1 << 18;
+    let begin = [head.into_bytes(), vec![b' '; length - rest]].concat();
+    within_deadline(stream.write_all(&begin)).await.expect("the connection is open");
+    // The answer is there before the last part of the body.
+    within_deadline(stream.readable()).await.expect("an answer");
+    for part in vec![b' '; rest].chunks(1 << 14) {
+        within_deadline(stream.write_all(part)).await.expect("the rest of the body is received");
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    let mut answer = [0; 12];
+    within_deadline(stream.read_exact(&mut answer)).await.expect("the connection was not reset");
+    assert_eq!(&answer[9..], status.as_bytes());
+}
