Pass a long answer on for as long as its backend gives it

Cause: read_response set the end of every streamed answer to the client's deadline + OVERDUE_GRACE, whatever its length and whatever came.

Now a body tells when it is too late (Lateness): over 64 KiB never, as only the first bytes are timed; a short one of known length at the deadline + 0.25 s as before; one without a length once it stands still for 0.45 s or gives under 16 kB a second, unless it has proved to be long, and at once if it is over 32 MiB, which no answer is. What stands still ends by the bound that was there, 10 s.

--- a/src/bin/proxy/body/mod.rs
+++ b/src/bin/proxy/body/mod.rs
@@ -16,7 +16,7 @@
 mod remaining;
 
 pub use buffer_budget::{BufferBudget, BufferReservation};
-pub use rate_floor::{BACKEND_RATE_FLOOR, CLIENT_RATE_FLOOR, RateLimitedBody};
+pub use rate_floor::{BACKEND_RATE_FLOOR, CLIENT_RATE_FLOOR, Lateness, RateLimitedBody};
 pub use remaining::{BodyState, RemainingBody};
 
 /// The longest body that is buffered, in bytes; a buffered body can be sent again.
--- a/src/bin/proxy/body/rate_floor.rs
+++ b/src/bin/proxy/body/rate_floor.rs
@@ -3,7 +3,7 @@
 //! Only the time in which the proxy waits for the sender counts against it; time in which the proxy does not read
 //! the body does not.
 
-use super::MAX_BUFFERED_BODY_BYTES;
+use super::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use std::future::Future;
@@ -38,6 +38,24 @@
 pub const BACKEND_RATE_FLOOR: RateFloor =
     RateFloor { stall: Duration::from_secs(10), slack: Duration::from_secs(60), bytes_per_s: 1000.0 };
 
+/// The minimum rate of a response that has no length and is overdue, until it proves to be a long one: a quarter of the
+/// rate at which slow backends give long responses. With [`Lateness::UnlessLong`] after the client's deadline, one that
+/// stands still ends before it is half a second late.
+const OVERDUE_RATE_FLOOR: RateFloor =
+    RateFloor { stall: Duration::from_millis(450), slack: Duration::ZERO, bytes_per_s: 16_000.0 };
+
+/// When a body that is passed on counts as too late.
+#[derive(Clone, Copy)]
+pub enum Lateness {
+    /// Never: of a body over [`MAX_BUFFERED_BODY_BYTES`] only the first bytes are timed.
+    Never,
+    /// At this time, since the body is a short one.
+    At(Instant),
+    /// At this time or later, once the sender is below [`OVERDUE_RATE_FLOOR`], unless the body has proved to be long. One
+    /// over [`MAX_BODY_BYTES`] never ends.
+    UnlessLong(Instant),
+}
+
 /// A wait for the sender that has not ended.
 struct Wait {
     since: Instant,
@@ -53,20 +71,20 @@
     /// Sum of the completed waits.
     waited: Duration,
     current_wait: Option<Wait>,
-    deadline: Option<Instant>,
+    lateness: Lateness,
 }
 
 impl RateLimitedBody {
     /// Wraps a body of which nothing has been read.
     pub fn new(body: Incoming, floor: RateFloor) -> Self {
         let waited = Duration::ZERO;
-        RateLimitedBody { body, floor, received: 0, waited, current_wait: None, deadline: None }
+        RateLimitedBody { body, floor, received: 0, waited, current_wait: None, lateness: Lateness::Never }
     }
 
-    /// Sets a deadline after which reads fail, whatever the rate.
-    pub fn set_deadline(&mut self, deadline: Instant) {
-        self.deadline = Some(deadline);
-        // The current wait has a timeout without the deadline; the next read begins a wait that includes it.
+    /// Sets when the body counts as too late, after which reads fail.
+    pub fn set_lateness(&mut self, lateness: Lateness) {
+        self.lateness = lateness;
+        // The timeout of the current wait does not include it; the next read begins a wait that does.
         self.end_wait();
     }
 
@@ -87,15 +105,14 @@
 
     /// Polls for the next chunk of data, which is `None` at the end. Trailers are skipped.
     ///
-    /// Fails with `TimedOut` if the sender is below the floor or the deadline has passed.
+    /// Fails with `TimedOut` if the sender is below the floor or the body is too late.
     pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<Option<Bytes>>> {
-        let left = self.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
-        if left.is_some_and(|left| left.is_zero()) {
+        if self.is_late() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
-                return self.poll_timeout(cx, left).map(|()| Err(io::ErrorKind::TimedOut.into()));
+                return self.poll_timeout(cx).map(|()| Err(io::ErrorKind::TimedOut.into()));
             };
             self.end_wait();
             let frame = match frame {
@@ -110,16 +127,43 @@
         }
     }
 
-    /// Begins a wait for the sender unless one has begun, and polls its timeout. `left` is the time to the deadline.
-    fn poll_timeout(&mut self, cx: &mut Context<'_>, left: Option<Duration>) -> Poll<()> {
-        let for_bytes = Duration::from_secs_f64(self.received as f64 / self.floor.bytes_per_s);
-        let allowed = (self.floor.slack + for_bytes).saturating_sub(self.waited);
-        let by_rate = self.floor.stall.min(allowed);
-        let timeout = left.map_or(by_rate, |left| by_rate.min(left));
-        let wait = self
-            .current_wait
-            .get_or_insert_with(|| Wait { since: Instant::now(), timeout: Box::pin(sleep(timeout)) });
-        wait.timeout.as_mut().poll(cx)
+    /// Begins a wait for the sender unless one has begun, and polls its timeout.
+    fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.current_wait.is_none() {
+            let timeout = self.wait_allowed(self.floor).min(self.wait_until_late());
+            self.current_wait = Some(Wait { since: Instant::now(), timeout: Box::pin(sleep(timeout)) });
+        }
+        match &mut self.current_wait {
+            Some(wait) => wait.timeout.as_mut().poll(cx),
+            None => Poll::Pending,
+        }
+    }
+
+    /// Returns how long a wait that begins now may take before the sender is below `floor`.
+    fn wait_allowed(&self, floor: RateFloor) -> Duration {
+        let for_bytes = Duration::from_secs_f64(self.received as f64 / floor.bytes_per_s);
+        floor.stall.min((floor.slack + for_bytes).saturating_sub(self.waited))
+    }
+
+    /// Returns whether the body is too late, whatever its sender gives.
+    fn is_late(&self) -> bool {
+        match self.lateness {
+            Lateness::Never => false,
+            Lateness::At(at) => Instant::now() >= at,
+            Lateness::UnlessLong(at) => self.received > MAX_BODY_BYTES && Instant::now() >= at,
+        }
+    }
+
+    /// Returns how long a wait that begins now may take before the body is too late.
+    fn wait_until_late(&self) -> Duration {
+        let left = |at: Instant| at.saturating_duration_since(Instant::now());
+        match self.lateness {
+            Lateness::At(at) => left(at),
+            Lateness::UnlessLong(at) if self.received <= MAX_BUFFERED_BODY_BYTES as u64 => {
+                left(at).max(self.wait_allowed(OVERDUE_RATE_FLOOR))
+            }
+            Lateness::Never | Lateness::UnlessLong(_) => Duration::MAX,
+        }
     }
 
     fn end_wait(&mut self) {
--- a/src/bin/proxy/upstream/response.rs
+++ b/src/bin/proxy/upstream/response.rs
@@ -4,9 +4,9 @@
 //! buffered bytes count against the buffer budget until the response is dropped.
 
 use super::{AttemptEnd, UpstreamResponse};
-use crate::body::{self, BufferBudget, RateLimitedBody};
+use crate::body::{self, BufferBudget, Lateness, RateLimitedBody};
 use bytes::BytesMut;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 use load_balancer::interface::Outcome;
@@ -18,8 +18,8 @@
 /// Time after its first bytes at which an incomplete response without a length is passed on as a stream. With less
 /// time left than this, the attempt times out first.
 const BUFFERING_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time after the client's deadline at which a streamed response is aborted. A late response has no value and
-/// counts as lost after half a second, whatever the settings; an aborted one counts as failed.
+/// Time after the client's deadline at which a short response that is passed on is aborted. A late response has no value
+/// and counts as lost after half a second, whatever the settings; an aborted one counts as failed.
 const OVERDUE_GRACE: Duration = Duration::from_millis(250);
 
 /// Reads the buffered part of a response and returns the end of its attempt.
@@ -35,13 +35,14 @@
         return AttemptEnd::Failed(Outcome::Reset);
     }
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
+    let length = body.size_hint().exact();
     // A truncated response counts as a reset: the request may have run.
     let Ok(mut response) = buffer(RateLimitedBody::new(body, body::BACKEND_RATE_FLOOR), buffer_budget).await
     else {
         return AttemptEnd::Failed(Outcome::Reset);
     };
     if let Some(remaining) = &mut response.remaining {
-        remaining.set_deadline(client_deadline + OVERDUE_GRACE);
+        remaining.set_lateness(lateness(length, client_deadline + OVERDUE_GRACE));
     }
     match head.status {
         StatusCode::OK => AttemptEnd::Response(response),
@@ -53,6 +54,15 @@
     }
 }
 
+/// Returns when a response of this length, if it is known, counts as too late: `overdue_at` if it is short.
+fn lateness(length: Option<u64>, overdue_at: Instant) -> Lateness {
+    match length {
+        Some(length) if length <= body::MAX_BUFFERED_BODY_BYTES as u64 => Lateness::At(overdue_at),
+        Some(_) => Lateness::Never,
+        None => Lateness::UnlessLong(overdue_at),
+    }
+}
+
 /// Buffers a small body, or the first bytes of a longer one. The latency is measured up to the arrival of these bytes.
 async fn buffer(mut body: RateLimitedBody, buffer_budget: &Rc<BufferBudget>) -> io::Result<UpstreamResponse> {
     let length = body.announced_bytes_left();
