Run a long request's time although its last byte is not seen

Cause: the time began when the last byte was seen, and of a body in chunks, or one that fills the system's buffers, it is seen only as fast as the backend reads: what the client has written waits in its own system, unseen.

Now the connection keeps the last time at which the client still owed a byte: while nothing is held back, when all was read; while the proxy reads nothing, when a byte arrived by itself; else the last count that is more than 4 MiB (the most that a client's system holds) behind. If the client's time from there is over and the end was not seen, no backend can have the request whole: it is refused, the attempt is left incomplete, and the rest of the body is drained beside the answer. The time told to a backend is cut in the same way. Trace: RUST_LOG=proxy=debug says 'body overdue'. Related: a request that was ended by the backstop dropped its unread body; it is drained now.

--- a/src/bin/proxy/body/mod.rs
+++ b/src/bin/proxy/body/mod.rs
@@ -3,6 +3,7 @@
 //! - [`buffer_budget`] bounds the memory of all buffered bodies together.
 //! - [`rate_floor`] reads a body and fails it when its sender is too slow.
 //! - [`remaining`] streams the unbuffered part of a request's body to the one attempt that can send it.
+//! - [`state`] is the state of that part, from its arrival to its end.
 //! - [`arrival`] tells when a body's bytes arrived, although nothing may have read them.
 //! - [`read_ahead`] holds what was received of it before the attempt could take it.
 //!
@@ -14,10 +15,12 @@
 mod rate_floor;
 mod read_ahead;
 mod remaining;
+mod state;
 
 pub use buffer_budget::{BufferBudget, BufferReservation};
 pub use rate_floor::{BACKEND_RATE_FLOOR, CLIENT_RATE_FLOOR, Lateness, RateLimitedBody};
-pub use remaining::{BodyState, RemainingBody};
+pub use remaining::RemainingBody;
+pub use state::BodyState;
 
 /// The longest body that is buffered, in bytes; a buffered body can be sent again.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
--- a/src/bin/proxy/body/remaining.rs
+++ b/src/bin/proxy/body/remaining.rs
@@ -2,21 +2,24 @@
 //!
 //! The request and the one attempt that sends this part share it. The client's connection receives it as it arrives,
 //! ahead of the attempt within the limits of [`ReadAhead`]; the attempt takes it from there. While nothing more may be
-//! received, the rest waits in the system's buffers, which slows its client, and the arrival of the last byte is
-//! seen from the number of bytes that wait there.
+//! received, the rest waits in the system's buffers, which slows its client. The arrival of the last byte is then seen
+//! from the number of bytes that wait there; where it cannot be seen, the client's time runs from when its last byte may
+//! have been written ([`BodyArrival`]).
 
 use super::MAX_BODY_BYTES;
 use super::arrival::BodyArrival;
 use super::buffer_budget::BufferBudget;
 use super::rate_floor::RateLimitedBody;
 use super::read_ahead::ReadAhead;
+use super::state::BodyState;
 use crate::io::Client;
+use crate::upstream::deadline_margin;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
@@ -24,17 +27,6 @@
 /// Interval at which a body that is not received checks for memory and for the arrival of its last byte.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// The state of a streamed body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyState {
-    /// The last byte has not arrived.
-    InProgress,
-    /// The last byte has arrived, at this time. It may still wait in the system's buffers.
-    Complete(Instant),
-    /// No more will be received: the client stopped or left, or the body is too long or was withdrawn.
-    Broken,
-}
-
 /// The part of a request's body that was not buffered.
 pub struct RemainingBody {
     /// The body to receive; `None` once it has ended or was withdrawn.
@@ -102,7 +94,13 @@
         self.is_received() && self.received.borrow().is_empty()
     }
 
-    /// Waits until the body is complete or broken, and returns that state.
+    /// Returns how long the client still waits if its last byte may have been written, else its whole timeout.
+    pub fn time_left(&self) -> Duration {
+        let ends_at = self.arrival.may_have_ended_at().map(|at| at + self.client_timeout);
+        ends_at.map_or(self.client_timeout, |at| at.saturating_duration_since(Instant::now()))
+    }
+
+    /// Waits until the body is no longer in progress, and returns its state.
     pub async fn settled(&self) -> BodyState {
         while self.state() == BodyState::InProgress {
             self.state_changed.notified().await;
@@ -110,14 +108,18 @@
         self.state()
     }
 
-    /// Takes the body away from the attempt that sends it, so that the caller can drain the rest. Marks a body that
-    /// the attempt has not taken completely as broken.
-    pub fn withdraw(&self) -> Option<RateLimitedBody> {
-        let rest = self.source.borrow_mut().take();
-        if rest.is_some() || !self.is_taken() {
+    /// Takes the body away from the attempt that sends it. Marks a body that the attempt has not taken completely as
+    /// broken.
+    pub fn withdraw(&self) {
+        if !self.is_taken() {
             self.fail();
         }
-        rest
+    }
+
+    /// Withdraws the body, and returns what was not received of it, so that the caller can drain it.
+    pub fn take_unreceived(&self) -> Option<RateLimitedBody> {
+        self.withdraw();
+        self.source.borrow_mut().take()
     }
 
     /// Receives the body as it arrives, until it is complete or broken. Only the client's connection may call this.
@@ -138,7 +140,8 @@
     /// Waits until an attempt asks for the body, or the client sends it unasked.
     async fn wait_until_invited(&self) {
         while self.waiting_attempt.borrow().is_none() && !self.arrival.has_begun() {
-            self.wait_and_check_arrival().await;
+            self.wait_for_demand().await;
+            self.arrival.update();
         }
     }
 
@@ -159,24 +162,51 @@
 
     /// Waits for demand or for the check interval, and then checks whether the last byte has arrived.
     async fn wait_and_check_arrival(&self) {
+        let is_wanted = self.wait_for_demand().await;
         if self.state() != BodyState::InProgress {
-            return self.demand.notified().await;
+            return;
         }
-        tokio::select! {
-            () = self.demand.notified() => {}
-            () = sleep(ARRIVAL_CHECK_INTERVAL) => {}
+        if !is_wanted {
+            self.arrival.not_read();
         }
         self.arrival.update();
         if self.arrival.has_ended() {
             self.complete();
         }
+        self.check_overdue();
+    }
+
+    /// Waits for demand, while the body is in progress at most for the check interval. Returns whether there is demand.
+    async fn wait_for_demand(&self) -> bool {
+        if self.state() != BodyState::InProgress {
+            self.demand.notified().await;
+            return true;
+        }
+        tokio::select! {
+            () = self.demand.notified() => true,
+            () = sleep(ARRIVAL_CHECK_INTERVAL) => false,
+        }
+    }
+
+    /// Ends a body whose client's time may be over.
+    fn check_overdue(&self) {
+        if self.state() == BodyState::InProgress && self.time_left() <= deadline_margin(self.client_timeout) {
+            self.received.borrow_mut().clear();
+            self.settle(BodyState::Overdue);
+            self.wake_attempt();
+        }
     }
 
     /// Receives the next piece. Returns whether the body has ended.
     fn poll_receive(&self, cx: &mut Context<'_>) -> Poll<bool> {
         let mut source = self.source.borrow_mut();
         let Some(body) = source.as_mut() else { return Poll::Ready(true) };
-        let piece = match ready!(body.poll_next(cx)) {
+        let Poll::Ready(next) = body.poll_next(cx) else {
+            self.arrival.found_dry();
+            return Poll::Pending;
+        };
+        self.arrival.piece_read();
+        let piece = match next {
             Ok(piece) if body.received_bytes() <= MAX_BODY_BYTES => piece,
             _ => {
                 *source = None;
@@ -195,15 +225,16 @@
             self.received.borrow_mut().finish();
             self.complete();
         }
+        self.check_overdue();
         self.wake_attempt();
         Poll::Ready(has_ended)
     }
 
     /// Takes the next piece for the attempt that sends the body; it is `None` at the end.
     ///
-    /// Fails with `BrokenPipe` once the body is broken or withdrawn.
+    /// Fails with `BrokenPipe` once the body can no longer be sent.
     pub fn poll_next(&self, cx: &mut Context<'_>) -> Poll<io::Result<Option<Bytes>>> {
-        if self.state() == BodyState::Broken {
+        if !self.state().can_be_sent() {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
         }
         let piece = self.received.borrow_mut().pop();
--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -183,7 +183,7 @@
     announced: Announced,
     source: RequestSource<'_>,
 ) -> Reply {
-    let unread = if matches!(end, RequestEnd::Served(_)) { None } else { body.withdraw() };
+    let unread = if matches!(end, RequestEnd::Served(_)) { None } else { body.take_unreceived() };
     match unread {
         Some(_) if announced.expects_continue && !body.was_passed_on() => close_after(respond(end, record)),
         Some(unread) => {
--- a/src/bin/proxy/engine/admit.rs
+++ b/src/bin/proxy/engine/admit.rs
@@ -125,9 +125,15 @@
                 end = &mut self.end => return self.guard.record_end(end.unwrap_or(RequestEnd::UpstreamFailed)),
                 state = body.settled() => state,
             };
-            let BodyState::Complete(at) = state else { return RequestEnd::ClientGone };
-            complete_at = at;
-            let deadline_ms = engine.deadline_ms(at, self.client_timeout);
+            complete_at = match state {
+                BodyState::Complete(at) => at,
+                // No backend can have it whole.
+                BodyState::Overdue => {
+                    return self.guard.record_end(RequestEnd::Rejected { retry_after: None });
+                }
+                _ => return RequestEnd::ClientGone,
+            };
+            let deadline_ms = engine.deadline_ms(complete_at, self.client_timeout);
             engine.handle_event(Event::BodyComplete { request: self.guard.request, deadline_ms });
         }
         let allowed = engine.time_allowed(complete_at, self.client_timeout);
--- a/src/bin/proxy/io/client.rs
+++ b/src/bin/proxy/io/client.rs
@@ -80,8 +80,12 @@
     /// Returns the number of bytes that have arrived from the client since it connected, read or not. Where the system
     /// does not tell how many are unread, those are not counted.
     pub fn arrived_bytes(&self) -> u64 {
-        let unread = ioctl_fionread(self.stream.borrow().inner().half.as_ref()).unwrap_or(0);
-        self.received_bytes(&self.ahead.borrow()) + unread
+        self.received_bytes(&self.ahead.borrow()) + self.unread_bytes()
+    }
+
+    /// Returns the number of bytes that wait in the system's buffer; 0 where the system does not tell.
+    pub fn unread_bytes(&self) -> u64 {
+        ioctl_fionread(self.stream.borrow().inner().half.as_ref()).unwrap_or(0)
     }
 
     fn received_bytes(&self, ahead: &UnparsedBytes) -> u64 {
--- a/src/bin/proxy/request_trace.rs
+++ b/src/bin/proxy/request_trace.rs
@@ -37,6 +37,9 @@
                 let arrived_ms = at.saturating_duration_since(self.head_read_at).as_millis();
                 self.log(format_args!("body complete, its time counts from {arrived_ms} ms"));
             }
+            BodyState::Overdue => {
+                self.log(format_args!("body overdue: its end is not seen, and its time may be over"))
+            }
             BodyState::InProgress | BodyState::Broken => self.log(format_args!("body broken")),
         }
     }
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -76,7 +76,7 @@
 
     /// Returns whether the rest of the body can no longer be received.
     pub(super) fn is_broken(&self) -> bool {
-        self.remaining_body.as_ref().is_some_and(|r| r.state() == BodyState::Broken)
+        self.remaining_body.as_ref().is_some_and(|r| !r.state().can_be_sent())
     }
 
     /// Waits until a response would be too late. Never returns for a body that breaks off; the rate floor limits
@@ -92,7 +92,7 @@
     /// Returns the time that a backend is told, in milliseconds, for an attempt with this deadline.
     pub(super) fn backend_timeout_ms(&self, deadline: Instant) -> u64 {
         let remaining = match &self.remaining_body {
-            Some(body) if !self.is_complete() => body.client_timeout,
+            Some(body) if !self.is_complete() => body.time_left(),
             _ => self.attempt_deadline(deadline).saturating_duration_since(Instant::now()),
         };
         remaining.as_millis() as u64
--- a/tests/slow_peers/backend.rs
+++ b/tests/slow_peers/backend.rs
@@ -1,6 +1,7 @@
 //! A backend that reads and answers each request as the query of its path says.
 //!
-//! It reads the body with a pause of `read_every` milliseconds before each read, and stops after `read` bytes. It answers
+//! It reads the body with a pause of `read_every` milliseconds before each read, or of 100 ms after each `read_burst` bytes,
+//! and stops after `read` bytes. It answers
 //! `answer` bytes, `piece` bytes every `every` milliseconds, in chunks with `chunked`, until the end of the connection with
 //! `until_close`, and stops after `give` bytes.
 
@@ -15,6 +16,8 @@
 /// Backends in the list. A new process admits twice as many requests.
 const BACKENDS: usize = 40;
 
+/// Pause after each burst of reads.
+const BURST_PAUSE: Duration = Duration::from_millis(100);
 /// Size of the system's buffer for what a backend has not read.
 const RECEIVE_BUFFER_BYTES: u32 = 8192;
 
@@ -70,7 +73,8 @@
     let is_chunked = head.contains("transfer-encoding: chunked");
     let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
     let length: usize = length.map_or(0, |length| length.parse().expect("a number"));
-    let mut read = 0;
+    let burst = parameter(head, "read_burst").unwrap_or(usize::MAX);
+    let (mut read, mut burst_ends_at) = (0, burst);
     loop {
         if is_chunked && buffer.ends_with(b"0\r\n\r\n") || !is_chunked && read + buffer.len() >= length {
             buffer.clear();
@@ -82,6 +86,10 @@
         if read >= stops_at {
             std::future::pending::<()>().await;
         }
+        if read >= burst_ends_at {
+            burst_ends_at += burst;
+            sleep(BURST_PAUSE).await;
+        }
         sleep(pause).await;
         read_more(stream, buffer).await?;
     }
--- a/tests/slow_peers/main.rs
+++ b/tests/slow_peers/main.rs
@@ -1,4 +1,4 @@
-//! Slow backends and slow clients.
+//! Hundreds of slow peers at a proxy with little memory and many descriptors: what the process may hold at its worst.
 
 #[path = "../rig/mod.rs"]
 mod rig;
@@ -7,3 +7,4 @@
 
 mod answers;
 mod backend;
+mod requests;
