--- a/src/bin/proxy/body/buffer_budget.rs
+++ b/src/bin/proxy/body/buffer_budget.rs
@@ -3,10 +3,13 @@
 //! One budget is shared by all requests and responses. Each buffered body holds a reservation, which is returned when
 //! it is dropped.
 
-use super::MAX_BUFFERED_BODY_BYTES;
+use super::{HTTP_BUFFER_BYTES, MAX_BUFFERED_BODY_BYTES};
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Largest piece of a body that is received at once, in bytes.
+const PIECE_BYTES: usize = HTTP_BUFFER_BYTES;
+
 /// The bytes that are left for buffered bodies.
 ///
 /// Without this budget, many bodies buffered at once could exceed the memory limit. A body that gets no reservation is
@@ -28,12 +31,12 @@
         Rc::new(BufferBudget { total: bytes, left: Cell::new(bytes) })
     }
 
-    /// Reserves memory for a body of `length` bytes, or for the longest buffered one if the length is unknown.
-    /// Returns `None` if too little is left, or if the body is too long to be buffered.
-    pub fn reserve(self: &Rc<Self>, length: Option<u64>) -> Option<BufferReservation> {
+    /// Reserves memory for the first piece of a body of `length` bytes, if that is known; the reservation grows with the
+    /// body. Returns `None` if too little is left, or if the body is too long to be buffered.
+    pub fn reserve_first_piece(self: &Rc<Self>, length: Option<u64>) -> Option<BufferReservation> {
         let length = length.unwrap_or(MAX_BUFFERED_BODY_BYTES as u64);
         let bytes = usize::try_from(length).ok().filter(|bytes| *bytes <= MAX_BUFFERED_BODY_BYTES)?;
-        self.take(bytes, 0)
+        self.take(bytes.min(PIECE_BYTES), 0)
     }
 
     /// Reserves memory for a part of a streamed request that is received before a backend takes it. Returns `None` if
@@ -51,6 +54,19 @@
 }
 
 impl BufferReservation {
+    /// Grows the reservation by a piece if it does not cover `bytes` and another piece. Returns whether it does then.
+    pub fn cover_next_piece(&mut self, bytes: usize) -> bool {
+        let missing = (bytes + PIECE_BYTES).saturating_sub(self.bytes);
+        let Some(mut more) = self.budget.take(missing, 0) else { return false };
+        self.bytes += std::mem::take(&mut more.bytes);
+        true
+    }
+
+    /// Returns whether the reservation covers `bytes`.
+    pub fn covers(&self, bytes: usize) -> bool {
+        bytes <= self.bytes
+    }
+
     /// Reduces the reservation to `bytes` once the body's length is known, and returns the excess to the budget.
     pub fn shrink(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
--- a/src/bin/proxy/body/mod.rs
+++ b/src/bin/proxy/body/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! - [`buffer_budget`] bounds the memory of all buffered bodies together.
 //! - [`rate_floor`] reads a body and fails it when its sender is too slow.
+//! - [`receive_progress`] tells whether the sender of a request's body is slow.
 //! - [`remaining`] streams the unbuffered part of a request's body to the one attempt that can send it.
+//! - [`turn`] lets other connections have their turn between the pieces of a body.
 //! - [`state`] is the state of that part, from its arrival to its end.
 //! - [`arrival`] tells when a body's bytes arrived, although nothing may have read them.
 //! - [`read_ahead`] holds what was received of it before the attempt could take it.
@@ -14,11 +16,14 @@
 mod buffer_budget;
 mod rate_floor;
 mod read_ahead;
+mod receive_progress;
 mod remaining;
 mod state;
+mod turn;
 
 pub use buffer_budget::{BufferBudget, BufferReservation};
-pub use rate_floor::{BACKEND_RATE_FLOOR, CLIENT_RATE_FLOOR, Lateness, RateLimitedBody};
+pub use rate_floor::{Lateness, RateLimitedBody, append};
+pub use receive_progress::ReceiveProgress;
 pub use remaining::RemainingBody;
 pub use state::BodyState;
 
--- a/src/bin/proxy/body/rate_floor.rs
+++ b/src/bin/proxy/body/rate_floor.rs
@@ -3,28 +3,35 @@
 //! Only the time in which the proxy waits for the sender counts against it; time in which the proxy does not read
 //! the body does not.
 
+use super::buffer_budget::BufferReservation;
+use super::receive_progress::ReceiveProgress;
+use super::turn::Turn;
 use super::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::time::{Instant, Sleep, sleep};
 
 /// Longest time for which the rest of a rejected body is read before the connection closes.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Step in which the buffer of a body grows, in bytes.
+const GROWTH_STEP_BYTES: usize = 4096;
+
 /// The minimum rate of a body's sender.
 #[derive(Clone, Copy)]
-pub struct RateFloor {
+struct RateFloor {
     /// Longest time for which the sender may send nothing.
-    pub stall: Duration,
+    stall: Duration,
     /// Total time for which the proxy may wait for the sender, in addition to the time that the received bytes earn.
-    pub slack: Duration,
+    slack: Duration,
     /// Received bytes that add one second to the slack.
-    pub bytes_per_s: f64,
+    bytes_per_s: f64,
 }
 
 /// The minimum rate of a client that sends a request body.
@@ -32,10 +39,10 @@
 /// A client that stops in the middle of its request would hold a connection and memory. Its request ends 2 s after
 /// the last received byte, or once the slack is used up; well-behaved clients send 64 kB per second. The client's
 /// deadline does not apply before the last byte, so that no setting affects this.
-pub const CLIENT_RATE_FLOOR: RateFloor =
+const CLIENT_RATE_FLOOR: RateFloor =
     RateFloor { stall: Duration::from_secs(2), slack: Duration::from_secs(5), bytes_per_s: 16_000.0 };
 /// The minimum rate of a backend's response body. A long response is passed on as long as it keeps this rate.
-pub const BACKEND_RATE_FLOOR: RateFloor =
+const BACKEND_RATE_FLOOR: RateFloor =
     RateFloor { stall: Duration::from_secs(10), slack: Duration::from_secs(60), bytes_per_s: 1000.0 };
 
 /// The minimum rate of a response that has no length and is overdue, until it proves to be a long one: a quarter of the
@@ -72,13 +79,35 @@
     waited: Duration,
     current_wait: Option<Wait>,
     lateness: Lateness,
+    turn: Turn,
+    /// Observes a client that sends the body.
+    progress: Rc<ReceiveProgress>,
 }
 
 impl RateLimitedBody {
-    /// Wraps a body of which nothing has been read.
-    pub fn new(body: Incoming, floor: RateFloor) -> Self {
+    /// Wraps a backend's body of which nothing has been read.
+    pub fn of_backend(body: Incoming) -> Self {
+        RateLimitedBody::new(body, BACKEND_RATE_FLOOR, Rc::default())
+    }
+
+    /// Wraps a client's body of which nothing has been read; `progress` observes it.
+    pub fn of_client(body: Incoming, progress: &Rc<ReceiveProgress>) -> Self {
+        progress.begin();
+        RateLimitedBody::new(body, CLIENT_RATE_FLOOR, progress.clone())
+    }
+
+    fn new(body: Incoming, floor: RateFloor, progress: Rc<ReceiveProgress>) -> Self {
         let waited = Duration::ZERO;
-        RateLimitedBody { body, floor, received: 0, waited, current_wait: None, lateness: Lateness::Never }
+        RateLimitedBody {
+            body,
+            floor,
+            received: 0,
+            waited,
+            current_wait: None,
+            lateness: Lateness::Never,
+            turn: Turn::default(),
+            progress,
+        }
     }
 
     /// Sets when the body counts as too late, after which reads fail.
@@ -110,8 +139,11 @@
         if self.is_late() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
+        ready!(self.turn.poll_next_piece(cx));
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+                self.turn.restart();
+                self.progress.wait();
                 return self.poll_timeout(cx).map(|()| Err(io::ErrorKind::TimedOut.into()));
             };
             self.end_wait();
@@ -121,7 +153,9 @@
                 Some(Ok(frame)) => frame,
             };
             if let Ok(data) = frame.into_data() {
+                self.turn.count();
                 self.received += data.len() as u64;
+                self.progress.receive(data.len());
                 return Poll::Ready(Ok(Some(data)));
             }
         }
@@ -177,12 +211,21 @@
         std::future::poll_fn(|cx| self.poll_next(cx)).await
     }
 
-    /// Appends the body to `buffer` until the buffer exceeds [`MAX_BUFFERED_BODY_BYTES`]. Returns whether the body
-    /// was read to its end.
-    pub async fn read_into(&mut self, buffer: &mut BytesMut) -> io::Result<bool> {
+    /// Appends the body to `buffer` until the buffer exceeds [`MAX_BUFFERED_BODY_BYTES`], or until `permit` cannot grow.
+    /// Returns whether the body was read to its end.
+    pub async fn read_into(
+        &mut self,
+        buffer: &mut Vec<u8>,
+        permit: &mut BufferReservation,
+    ) -> io::Result<bool> {
         while buffer.len() <= MAX_BUFFERED_BODY_BYTES {
+            // The rest of a body with a length may be shorter than a piece.
+            let rest = self.announced_bytes_left().map(|left| buffer.len() + left as usize);
+            if !rest.is_some_and(|rest| permit.covers(rest)) && !permit.cover_next_piece(buffer.len()) {
+                return Ok(self.is_complete());
+            }
             match self.next().await? {
-                Some(data) => buffer.extend_from_slice(&data),
+                Some(data) => append(buffer, &data),
                 None => return Ok(true),
             }
         }
@@ -198,3 +241,17 @@
         let _ = tokio::time::timeout(DRAIN_TIMEOUT, read_all).await;
     }
 }
+
+impl Drop for RateLimitedBody {
+    fn drop(&mut self) {
+        self.progress.end();
+    }
+}
+
+/// Appends `data` to `buffer`, whose capacity stays near its length.
+pub fn append(buffer: &mut Vec<u8>, data: &[u8]) {
+    if buffer.capacity() - buffer.len() < data.len() {
+        buffer.reserve_exact(data.len().next_multiple_of(GROWTH_STEP_BYTES));
+    }
+    buffer.extend_from_slice(data);
+}
--- a/src/bin/proxy/body/read_ahead.rs
+++ b/src/bin/proxy/body/read_ahead.rs
@@ -49,13 +49,15 @@
     /// Appends a piece that was received.
     pub fn push(&mut self, mut data: Bytes) {
         if let Some(last) = self.segments.back_mut() {
-            let room = SEGMENT_BYTES.saturating_sub(last.data.len());
+            let room = last.data.capacity() - last.data.len();
             last.data.extend_from_slice(&data.split_to(room.min(data.len())));
         }
         while !data.is_empty() {
-            let mut segment = BytesMut::with_capacity(SEGMENT_BYTES);
-            segment.extend_from_slice(&data.split_to(SEGMENT_BYTES.min(data.len())));
             let permit = self.next_permit.take().or_else(|| self.budget.reserve_read_ahead(SEGMENT_BYTES));
+            let piece = data.split_to(SEGMENT_BYTES.min(data.len()));
+            let capacity = if permit.is_some() { SEGMENT_BYTES } else { piece.len() };
+            let mut segment = BytesMut::with_capacity(capacity);
+            segment.extend_from_slice(&piece);
             self.segments.push_back(Segment { data: segment, _permit: permit });
         }
     }
--- a/src/bin/proxy/body/remaining.rs
+++ b/src/bin/proxy/body/remaining.rs
@@ -38,6 +38,8 @@
     state_changed: Notify,
     /// The attempt that waits for data.
     waiting_attempt: RefCell<Option<Waker>>,
+    /// Whether nothing more can be received before an attempt takes what is there, or invites the client.
+    needs_attempt: Cell<bool>,
     /// Notified when the attempt took data or began to wait for it.
     demand: Notify,
     was_passed_on: Cell<bool>,
@@ -63,6 +65,7 @@
             state: Cell::new(BodyState::InProgress),
             state_changed: Notify::new(),
             waiting_attempt: RefCell::new(None),
+            needs_attempt: Cell::new(false),
             demand: Notify::new(),
             was_passed_on: Cell::new(false),
             client_timeout,
@@ -94,6 +97,20 @@
         self.is_received() && self.received.borrow().is_empty()
     }
 
+    /// Waits until the body is complete, or the rest needs an attempt that takes what is there.
+    pub async fn sendable(&self) {
+        while self.state() == BodyState::InProgress && !self.needs_attempt.get() {
+            self.state_changed.notified().await;
+        }
+    }
+
+    /// Records that the rest of the body needs an attempt.
+    fn await_attempt(&self) {
+        if !self.needs_attempt.replace(true) {
+            self.state_changed.notify_waiters();
+        }
+    }
+
     /// Returns how long the client still waits if its last byte may have been written, else its whole timeout.
     pub fn time_left(&self) -> Duration {
         let ends_at = self.arrival.may_have_ended_at().map(|at| at + self.client_timeout);
@@ -139,6 +156,7 @@
 
     /// Waits until an attempt asks for the body, or the client sends it unasked.
     async fn wait_until_invited(&self) {
+        self.await_attempt();
         while self.waiting_attempt.borrow().is_none() && !self.arrival.has_begun() {
             self.wait_for_demand().await;
             self.arrival.update();
@@ -148,6 +166,7 @@
     /// Waits until more may be received.
     async fn wait_for_room(&self) {
         while !self.may_receive() {
+            self.await_attempt();
             self.wait_and_check_arrival().await;
         }
     }
--- a/src/bin/proxy/downstream/accept.rs
+++ b/src/bin/proxy/downstream/accept.rs
@@ -21,6 +21,8 @@
 struct Connections {
     tasks: JoinSet<()>,
     idle_close: watch::Sender<IdleCloseReason>,
+    /// The last time at which idle connections were asked to close because the limit was reached.
+    asked_at: Option<Instant>,
 }
 
 impl Connections {
@@ -32,6 +34,15 @@
     fn close_idle(&self, reason: IdleCloseReason) {
         self.idle_close.send_replace(reason);
     }
+
+    /// Asks idle connections to close because the limit is reached. Each is woken, so that this is not done for every
+    /// connection that ends or comes.
+    fn make_room(&mut self) {
+        if self.asked_at.is_none_or(|asked_at| asked_at.elapsed() >= ACCEPT_RETRY_DELAY) {
+            self.asked_at = Some(Instant::now());
+            self.close_idle(IdleCloseReason::LimitReached);
+        }
+    }
 }
 
 impl Downstream {
@@ -41,9 +52,18 @@
         let mut connections = Connections {
             tasks: JoinSet::new(),
             idle_close: watch::Sender::new(IdleCloseReason::LimitReached),
+            asked_at: None,
         };
-        self.accept_until_stopped(&listener, &mut connections).await;
-        self.accept_queued(listener, &mut connections).await;
+        let idle_close = connections.idle_close.clone();
+        tokio::select! {
+            () = self.serve_all(listener, &mut connections) => {}
+            never = self.slots.evict(&idle_close) => match never {},
+        }
+    }
+
+    async fn serve_all(self: &Rc<Self>, listener: TcpListener, connections: &mut Connections) {
+        self.accept_until_stopped(&listener, connections).await;
+        self.accept_queued(listener, connections).await;
         // A client that has its response and leaves the connection open must not delay the end of the process.
         while !connections.tasks.is_empty() {
             tokio::select! {
@@ -64,7 +84,7 @@
             if full {
                 // Without this, idle clients could hold all connections while requests wait in the kernel's listen
                 // queue. Closing the idle connections makes room for them.
-                connections.close_idle(IdleCloseReason::LimitReached);
+                connections.make_room();
             }
             tokio::select! {
                 () = &mut stopped => break,
--- a/src/bin/proxy/downstream/connection.rs
+++ b/src/bin/proxy/downstream/connection.rs
@@ -7,7 +7,7 @@
 use super::handle::RequestSource;
 use super::lingering_close::LingeringClose;
 use super::respond::{Reply, close_after, empty_response};
-use crate::body;
+use crate::body::ReceiveProgress;
 use crate::io::{ClientStream, Watched};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -22,6 +22,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
 /// Longest time that a client may take to send a request's head, including the idle time before it.
@@ -36,6 +37,9 @@
 /// Time after which an idle connection is closed while the connection limit is reached. Newer connections are kept:
 /// their requests are probably on the way.
 const IDLE_TIMEOUT_AT_LIMIT: Duration = Duration::from_secs(1);
+/// Time after the accept at which a connection without a complete request head is closed while the connection limit is
+/// reached: several round trips.
+pub(super) const FIRST_REQUEST_TIMEOUT_AT_LIMIT: Duration = Duration::from_secs(1);
 /// Time after which a connection is dropped that has ended the proxy's sending side and awaits only the client's
 /// end: one or two round trips.
 pub(super) const CLOSED_GRACE: Duration = Duration::from_millis(100);
@@ -48,6 +52,8 @@
 pub(super) enum IdleCloseReason {
     /// The connection limit is reached: idle connections close, and so do those that await only the client's end.
     LimitReached,
+    /// Connections wait for a slot: as many close as wait, among those as above and those with a slow client.
+    SlotsTaken,
     /// The process stops: connections that await only the client's end close.
     Stopping,
 }
@@ -57,6 +63,10 @@
     idle_since: Cell<Instant>,
     /// Whether the head of a request has ever arrived on this connection.
     had_request: Cell<bool>,
+    /// Whether a request is being answered.
+    is_answering: Cell<bool>,
+    /// The body that is being received.
+    receiving: Rc<ReceiveProgress>,
     /// The time at which the proxy ended its sending side, if it has.
     ended_at: Rc<Cell<Option<Instant>>>,
 }
@@ -89,13 +99,24 @@
         if self.had_request.get() { Decision::CloseGracefully } else { Decision::Continue }
     }
 
-    /// Decides what to do when idle connections are asked to close for `reason`.
-    fn asked_to_close(&self, reason: IdleCloseReason) -> Decision {
+    /// Decides what to do when idle connections are asked to close for `reason`. `may_close` counts a connection that can.
+    fn asked_to_close(
+        &self,
+        reason: IdleCloseReason,
+        may_close: impl Fn(IdleCloseReason) -> bool,
+    ) -> Decision {
         if self.ended_at.get().is_some_and(|at| at.elapsed() > CLOSED_GRACE) {
             return Decision::Drop;
         }
-        let idle_long = self.idle_since.get().elapsed() > IDLE_TIMEOUT_AT_LIMIT;
-        if reason == IdleCloseReason::LimitReached && idle_long {
+        let is_short = reason != IdleCloseReason::Stopping;
+        if is_short && self.receiving.waits_for_slow_client() && may_close(reason) {
+            // A request that its client has not sent whole was not taken.
+            return Decision::Drop;
+        }
+        let allowed =
+            if self.had_request.get() { IDLE_TIMEOUT_AT_LIMIT } else { FIRST_REQUEST_TIMEOUT_AT_LIMIT };
+        let idle_long = self.idle_since.get().elapsed() > allowed;
+        if is_short && idle_long && !self.is_answering.get() && may_close(reason) {
             Decision::CloseGracefully
         } else {
             Decision::Continue
@@ -108,42 +129,63 @@
     /// connection limit.
     pub(super) async fn serve_connection(
         self: Rc<Self>,
-        stream: TcpStream,
-        idle_close: watch::Receiver<IdleCloseReason>,
+        mut stream: TcpStream,
+        mut idle_close: watch::Receiver<IdleCloseReason>,
         over_limit: bool,
     ) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let stream = ClientStream::new(stream);
+        let accepted_at = Instant::now();
+        let first_request = self.await_first_request(&mut stream, &mut idle_close).await;
+        let Some((arrived, _slot)) = first_request else { return };
+        let over_limit = over_limit || self.served() > self.served_connections();
+        let stream = ClientStream::new(stream, arrived, self.buffer_budget.clone());
         let client = stream.client();
         let stream = LingeringClose::new(stream);
         let activity = Activity {
-            idle_since: Cell::new(Instant::now()),
+            idle_since: Cell::new(accepted_at),
             had_request: Cell::new(false),
+            is_answering: Cell::new(false),
+            receiving: Rc::default(),
             ended_at: stream.ended_at(),
         };
         let stream = Watched::observing(stream, client.bytes_read());
         let progress = stream.progress();
         progress.await_head();
-        let source = RequestSource { over_limit, progress: &progress, client: &client };
+        let source = RequestSource {
+            over_limit,
+            progress: &progress,
+            client: &client,
+            receiving: &activity.receiving,
+        };
         let service = service_fn(async |request| {
-            activity.had_request.set(true);
+            if activity.had_request.replace(true) {
+                // Requests that a client sends at once take turns with those of other connections.
+                yield_now().await;
+            }
+            activity.is_answering.set(true);
             if progress.has_conflicting_framing() {
                 return Ok(close_after(empty_response(StatusCode::BAD_REQUEST)));
             }
             let reply = self.handle_request(request, source).await;
+            activity.is_answering.set(false);
             activity.idle_since.set(Instant::now());
             reply
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(body::HTTP_BUFFER_BYTES)
+            .max_buf_size(self.memory.http_buffer_bytes)
             .serve_connection(stream, service);
         self.drive(pin!(connection), &activity, idle_close).await;
     }
 
+    /// Returns whether a connection that can close for `reason` has to.
+    fn may_close(&self, reason: IdleCloseReason) -> bool {
+        reason != IdleCloseReason::SlotsTaken || self.slots.must_make_room()
+    }
+
     /// Polls a connection until it is closed by the client or the HTTP library, or because it is idle or the
     /// process drains.
     async fn drive<S>(
@@ -171,20 +213,31 @@
                     drain_delay_over.set(self.lifecycle.drain_delay_over());
                     activity.drained()
                 }
-                _ = idle_close.changed() => activity.asked_to_close(*idle_close.borrow()),
+                _ = idle_close.changed() => activity.asked_to_close(*idle_close.borrow(), |reason| self.may_close(reason)),
             };
             match decision {
                 Decision::Drop => return,
                 Decision::Continue => continue,
                 Decision::CloseGracefully if activity.ended_at.get().is_some() => continue,
-                Decision::CloseGracefully => connection.as_mut().graceful_shutdown(),
+                Decision::CloseGracefully => {}
+            }
+            if !activity.had_request.get() {
+                // Reads what has arrived and is not reported yet; the library reads nothing after its shutdown.
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => return,
+                    () = yield_now() => {}
+                }
+                if activity.had_request.get() {
+                    continue;
+                }
             }
+            connection.as_mut().graceful_shutdown();
             if !activity.had_request.get() {
                 tokio::select! {
                     biased;
                     _ = connection.as_mut() => return,
-                    // Polls the connection once more and does not wait: the rest of an incomplete head may never
-                    // arrive.
+                    // Does not wait: the rest of an incomplete head may never arrive.
                     () = ready(()) => if activity.ended_at.get().is_none() { return },
                 }
             }
--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -5,7 +5,7 @@
 
 use super::Downstream;
 use super::respond::{Reply, close_after, empty_response, respond};
-use crate::body::{BodyState, RemainingBody};
+use crate::body::{BodyState, ReceiveProgress, RemainingBody};
 use crate::counters::RequestRecord;
 use crate::engine::{AdmittedRequest, NotAdmitted, ParsedRequest, RequestEnd};
 use crate::io::{Client, Progress};
@@ -27,6 +27,8 @@
     pub(super) over_limit: bool,
     pub(super) progress: &'a Progress,
     pub(super) client: &'a Rc<Client>,
+    /// Observes the body of the request.
+    pub(super) receiving: &'a Rc<ReceiveProgress>,
 }
 
 /// What a request's head announces about its body.
@@ -64,7 +66,7 @@
             // Idle clients count towards the connection limit, so a request is rejected only if the unanswered
             // requests alone reach it.
             Ok((_, record))
-                if source.over_limit && self.engine.unanswered_requests() >= self.own_connections() =>
+                if source.over_limit && self.engine.unanswered_requests() >= self.served_connections() =>
             {
                 respond(RequestEnd::Rejected { retry_after: None }, record)
             }
@@ -83,6 +85,7 @@
     /// connected would soon hold all connections, so that none is kept once more than half of the limit is in use.
     fn must_close(&self, client: &Client) -> bool {
         2 * self.open.get() > self.own_connections()
+            || 2 * self.served() > self.served_connections()
             || !self.lifecycle.phase().keeps_connections()
             || client.has_discarded()
     }
--- a/src/bin/proxy/downstream/mod.rs
+++ b/src/bin/proxy/downstream/mod.rs
@@ -6,15 +6,20 @@
 
 mod accept;
 mod connection;
+mod first_head;
 mod handle;
 mod lingering_close;
 mod read_request;
 mod respond;
+mod slots;
+
+pub use slots::Slots;
 
 use crate::body::BufferBudget;
 use crate::counters::Counters;
 use crate::engine::Engine;
 use crate::lifecycle::Lifecycle;
+use crate::memory::MemoryPlan;
 use load_balancer::platform_settings::PlatformSettings;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -35,6 +40,10 @@
     /// Number of connections that are accepted beyond the limit of this process. Requests on them are rejected
     /// while the number of unanswered requests is at that limit.
     pub spare: usize,
+    /// Slots of the connections that are served.
+    pub slots: Slots,
+    /// What this process may hold.
+    pub memory: MemoryPlan,
     /// Memory budget for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of processes that serve this address.
@@ -48,6 +57,16 @@
     fn own_connections(&self) -> usize {
         (self.connections / *self.processes.borrow() as usize).max(1)
     }
+
+    /// Returns the limit of connections that are served by this process.
+    fn served_connections(&self) -> usize {
+        self.own_connections().min(self.memory.client_connections.saturating_sub(self.spare)).max(1)
+    }
+
+    /// Returns the number of connections that are served.
+    fn served(&self) -> usize {
+        self.memory.client_connections.saturating_sub(self.slots.free())
+    }
 }
 
 #[cfg(test)]
--- a/src/bin/proxy/downstream/read_request.rs
+++ b/src/bin/proxy/downstream/read_request.rs
@@ -10,9 +10,10 @@
 use crate::engine::{ParsedRequest, RequestEnd, millis};
 use crate::request_trace::RequestTrace;
 use crate::upstream::UpstreamRequest;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::header::{ALLOW, EXPECT, HOST, HeaderMap, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
 use load_balancer::interface::Idempotency;
 use percent_encoding::percent_decode_str;
@@ -33,6 +34,8 @@
     class: usize,
     tenant: usize,
     id: HeaderValue,
+    host: Option<HeaderValue>,
+    uri: Uri,
     client_timeout: Duration,
     idempotency_key: Option<HeaderValue>,
     ordering_key: Option<String>,
@@ -54,16 +57,20 @@
         source: RequestSource<'_>,
         body_begins_at: Option<u64>,
     ) -> Result<(ParsedRequest, RequestRecord), ErrorReply> {
-        let (head, body) = request.into_parts();
-        let checked = self.check_head(&head.method, &head.uri, &head.headers, body.is_end_stream())?;
+        let (Parts { method, uri, headers, .. }, body) = request.into_parts();
+        let checked = self.check_head(&method, &uri, &headers, body.is_end_stream())?;
+        let expects_continue = headers.contains_key(EXPECT);
+        // The body may take long, and the head can have many fields.
+        drop((uri, headers));
         let BufferedBody { buffered, remaining, buffer_permit } =
-            self.buffer_body(body, &head.headers).await?;
+            self.buffer_body(body, expects_continue, source).await?;
         let received_ahead_at = source.client.received_ahead_at();
         let received_at = received_ahead_at.unwrap_or_else(Instant::now);
         let is_complete = remaining.is_none();
         let remaining_body = remaining.map(|body| {
-            // Of a body that is partly buffered, the length is not known and the position not needed.
-            let begins_at = body_begins_at.filter(|_| buffered.is_empty());
+            // The position in a body in chunks is not known once a part is buffered.
+            let is_known = buffered.is_empty() || body.announced_bytes_left().is_some();
+            let begins_at = body_begins_at.filter(|_| is_known).map(|at| at + buffered.len() as u64);
             let budget = self.buffer_budget.clone();
             Rc::new(RemainingBody::new(body, checked.client_timeout, source.client, begins_at, budget))
         });
@@ -73,11 +80,10 @@
             source.progress.await_head();
             record.complete();
         }
-        let path = head.uri.path_and_query().cloned().map(Uri::from);
         let call = UpstreamRequest {
-            method: head.method,
-            uri: path.ok_or_else(bad_request)?,
-            host: head.headers.get(HOST).cloned(),
+            method,
+            uri: checked.uri,
+            host: checked.host,
             id: checked.id,
             key: checked.idempotency_key,
             buffered_body: buffered,
@@ -111,10 +117,10 @@
     ) -> Result<CheckedHead, ErrorReply> {
         let class = class_of(&self.platform.site.classes, uri.path());
         let class = class.ok_or_else(|| error_reply(StatusCode::NOT_FOUND))?;
-        let id = single_value(headers, "req-id").ok_or_else(bad_request)?.clone();
+        let id = own_copy(single_value(headers, "req-id").ok_or_else(bad_request)?);
         let tenant = self.tenant_of(headers).ok_or_else(bad_request)?;
         let client_timeout = self.client_timeout(headers).ok_or_else(bad_request)?;
-        let idempotency_key = single_value(headers, "idempotency-key").cloned();
+        let idempotency_key = single_value(headers, "idempotency-key").map(own_copy);
         let (allowed, needs_key) = match self.platform.settings.classes[class].idempotency {
             Idempotency::Idempotent => (Method::GET, None),
             Idempotency::Keyed { .. } => (Method::POST, Some(true)),
@@ -130,7 +136,10 @@
         }
         let ordering_key = uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("k=")));
         let ordering_key = ordering_key.filter(|key| !key.is_empty()).map(str::to_string);
-        Ok(CheckedHead { class, tenant, id, client_timeout, idempotency_key, ordering_key })
+        let host = headers.get(HOST).map(own_copy);
+        let uri = uri.path_and_query().and_then(|path| Uri::try_from(path.as_str()).ok());
+        let uri = uri.ok_or_else(bad_request)?;
+        Ok(CheckedHead { class, tenant, id, host, uri, client_timeout, idempotency_key, ordering_key })
     }
 
     /// Returns the index of the tenant that the headers name. The name may contain non-ASCII bytes.
@@ -152,28 +161,34 @@
 
     /// Buffers a small body if the buffer budget allows it. What is not buffered is read only once an attempt can
     /// stream it to a backend.
-    async fn buffer_body(&self, body: Incoming, headers: &HeaderMap) -> Result<BufferedBody, ErrorReply> {
-        let mut body = RateLimitedBody::new(body, body::CLIENT_RATE_FLOOR);
+    async fn buffer_body(
+        &self,
+        body: Incoming,
+        expects_continue: bool,
+        source: RequestSource<'_>,
+    ) -> Result<BufferedBody, ErrorReply> {
+        let mut body = RateLimitedBody::of_client(body, source.receiving);
         let length = body.announced_bytes_left();
         if length.is_some_and(|n| n > body::MAX_BODY_BYTES) {
             // Draining the body avoids a reset over unread bytes, which would lose the response. A client that
             // expects a `100 Continue` may not send the body at all.
-            if !headers.contains_key(EXPECT) {
+            if !expects_continue {
                 spawn_local(body.drain());
             }
             return Err(error_reply(StatusCode::PAYLOAD_TOO_LARGE));
         }
-        let Some(mut buffer_permit) = self.buffer_budget.reserve(length) else {
+        let Some(mut buffer_permit) = self.buffer_budget.reserve_first_piece(length) else {
             return Ok(BufferedBody { buffered: Bytes::new(), remaining: Some(body), buffer_permit: None });
         };
-        let mut buffered = BytesMut::new();
-        let is_complete = body.read_into(&mut buffered).await.map_err(|e| match e.kind() {
-            io::ErrorKind::TimedOut => error_reply(StatusCode::REQUEST_TIMEOUT),
-            _ => bad_request(),
-        })?;
+        let mut buffered = Vec::new();
+        let is_complete =
+            body.read_into(&mut buffered, &mut buffer_permit).await.map_err(|e| match e.kind() {
+                io::ErrorKind::TimedOut => error_reply(StatusCode::REQUEST_TIMEOUT),
+                _ => bad_request(),
+            })?;
         buffer_permit.shrink(buffered.len());
         Ok(BufferedBody {
-            buffered: buffered.freeze(),
+            buffered: buffered.into(),
             remaining: (!is_complete).then_some(body),
             buffer_permit: Some(buffer_permit),
         })
@@ -210,6 +225,11 @@
     find(path).or_else(|| find(path.trim_start_matches('/'))).or_else(decoded)
 }
 
+/// Returns a copy of a header's value. The value itself would keep the buffer of its whole head.
+fn own_copy(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 /// Returns the value of a header that must occur exactly once and must not be empty.
 fn single_value<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
     let mut values = headers.get_all(name).iter();
--- a/src/bin/proxy/downstream/respond.rs
+++ b/src/bin/proxy/downstream/respond.rs
@@ -5,8 +5,8 @@
 use crate::body::{BufferReservation, RateLimitedBody};
 use crate::counters::{CountedAs, RequestRecord};
 use crate::engine::RequestEnd;
-use crate::upstream::UpstreamResponse;
-use bytes::Bytes;
+use crate::upstream::{Permit, UpstreamResponse};
+use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -19,23 +19,49 @@
 /// A response body. It holds the request's record, so that the request is counted when the body is dropped.
 #[derive(Default)]
 pub struct ResponseBody {
-    data: Bytes,
-    remaining: Option<RateLimitedBody>,
+    data: ResponseData,
+    remaining: Option<Box<RateLimitedBody>>,
     record: Option<RequestRecord>,
-    _buffer_permit: Option<BufferReservation>,
+    _long_permit: Option<Permit>,
+}
+
+/// A piece of a response body. Its memory is reserved until it is written, for which a slow client may take long.
+#[derive(Default)]
+pub struct ResponseData {
+    bytes: Bytes,
+    _permit: Option<BufferReservation>,
+}
+
+impl Buf for ResponseData {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, count: usize) {
+        self.bytes.advance(count);
+    }
 }
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = ResponseData;
     type Error = io::Error;
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<ResponseData>>>> {
         let data = std::mem::take(&mut self.data);
         let next = match &mut self.remaining {
-            _ if !data.is_empty() => Ok(Some(data)),
+            _ if data.has_remaining() => Ok(Some(data)),
             None => Ok(None),
             Some(remaining) => match remaining.poll_next(cx) {
-                Poll::Ready(next) => next,
+                Poll::Ready(next) => {
+                    next.map(|piece| piece.map(|bytes| ResponseData { bytes, _permit: None }))
+                }
                 Poll::Pending => return Poll::Pending,
             },
         };
@@ -47,12 +73,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_empty() && self.remaining.as_ref().is_none_or(RateLimitedBody::is_complete)
+        !self.data.has_remaining() && self.remaining.as_ref().is_none_or(|remaining| remaining.is_complete())
     }
 
     fn size_hint(&self) -> SizeHint {
-        let data = self.data.len() as u64;
-        match self.remaining.as_ref().map(RateLimitedBody::announced_bytes_left) {
+        let data = self.data.remaining() as u64;
+        match self.remaining.as_ref().map(|remaining| remaining.announced_bytes_left()) {
             None => SizeHint::with_exact(data),
             Some(Some(remaining)) => SizeHint::with_exact(data + remaining),
             Some(None) => SizeHint::default(),
@@ -93,9 +119,10 @@
         RequestEnd::Rejected { retry_after } => (UpstreamResponse::default(), retry_after),
         _ => (UpstreamResponse::default(), None),
     };
-    let UpstreamResponse { data, remaining, buffer_permit } = response;
+    let UpstreamResponse { data, remaining, buffer_permit, long_permit } = response;
+    let data = ResponseData { bytes: data, _permit: buffer_permit };
     let mut reply =
-        Response::new(ResponseBody { data, remaining, record: Some(record), _buffer_permit: buffer_permit });
+        Response::new(ResponseBody { data, remaining, record: Some(record), _long_permit: long_permit });
     *reply.status_mut() = status;
     if status == StatusCode::REQUEST_TIMEOUT {
         reply = close_after(reply);
--- a/src/bin/proxy/io/client.rs
+++ b/src/bin/proxy/io/client.rs
@@ -5,7 +5,7 @@
 
 use super::ByteCount;
 use super::unparsed_bytes::UnparsedBytes;
-use bytes::Buf;
+use crate::body::BufferBudget;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use rustix::io::ioctl_fionread;
@@ -34,6 +34,8 @@
     ahead: RefCell<UnparsedBytes>,
     /// The bytes that were read from the socket, as far as they have been checked.
     received: Cell<ByteCount>,
+    /// Whether nothing was left unread at the last check.
+    has_read_all: Cell<bool>,
     /// Whether the request has been read completely, so that unread bytes do not belong to it.
     request_complete: Cell<bool>,
 }
@@ -68,6 +70,7 @@
         let stream = &stream.inner().half;
         let has_read_all = ahead.fill(stream, self.request_complete.get());
         self.count_received(ahead);
+        self.has_read_all.set(has_read_all);
         if has_read_all {
             return false;
         }
@@ -123,8 +126,7 @@
     /// Waits until the client has left. Only the connection's own task may wait.
     pub async fn wait_until_left(&self) {
         while !self.has_left() {
-            let is_full = self.ahead.borrow().is_full();
-            if !is_full {
+            if self.has_read_all.get() {
                 // An error is reported by the next call of `has_left`.
                 let _ = poll_fn(|cx| self.stream.borrow().inner().half.as_ref().poll_read_ready(cx)).await;
             } else {
@@ -141,16 +143,17 @@
 }
 
 impl ClientStream {
-    /// Splits a TCP stream into its two directions.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Splits a TCP stream, on which `arrived` bytes wait, into its two directions. What is read ahead is charged to `budget`.
+    pub fn new(stream: TcpStream, arrived: ByteCount, budget: Rc<BufferBudget>) -> Self {
         let (read, write) = stream.into_split();
         let bytes_read = Rc::<Cell<u64>>::default();
         let reader = CountingReader { half: read, bytes_read: bytes_read.clone() };
         let client = Client {
             stream: RefCell::new(TokioIo::new(reader)),
             bytes_read,
-            ahead: RefCell::default(),
-            received: Cell::new(ByteCount::new(0)),
+            ahead: RefCell::new(UnparsedBytes::new(budget)),
+            received: Cell::new(arrived),
+            has_read_all: Cell::default(),
             request_complete: Cell::default(),
         };
         ClientStream { client: Rc::new(client), write: TokioIo::new(write) }
@@ -169,10 +172,12 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let ahead = &mut *self.client.ahead.borrow_mut();
-        if !ahead.bytes.is_empty() {
-            let n = buf.remaining().min(ahead.bytes.len());
-            buf.put_slice(&ahead.bytes[..n]);
-            ahead.bytes.advance(n);
+        if !ahead.is_empty() {
+            let n = ahead.take_with(|kept| {
+                let n = buf.remaining().min(kept.len());
+                buf.put_slice(&kept[..n]);
+                n
+            });
             self.client.bytes_read.update(|read| read + n as u64);
             return Poll::Ready(Ok(()));
         }
--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -14,9 +14,9 @@
 pub use byte_count::ByteCount;
 pub use client::{Client, ClientStream};
 pub use outgoing::Outgoing;
+pub use request_head::RequestHead;
 
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
-use request_head::RequestHead;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
--- a/src/bin/proxy/io/request_head.rs
+++ b/src/bin/proxy/io/request_head.rs
@@ -9,22 +9,24 @@
 /// another server on the path may have used the length: the two would split the stream into different requests
 /// (request smuggling). Both headers are therefore detected here in the raw bytes.
 #[derive(Default)]
-pub(super) struct RequestHead {
+pub struct RequestHead {
     /// The beginning of the current line, in lower case.
     line: Vec<u8>,
     /// Whether a non-empty line has been read.
     has_begun: bool,
     /// Whether the head has a `Content-Length`.
-    pub(super) has_length: bool,
+    pub has_length: bool,
+    /// The length that the head announces, if it can be read.
+    pub content_length: Option<u64>,
     /// Whether the head has a `Transfer-Encoding`.
-    pub(super) has_encoding: bool,
+    pub has_encoding: bool,
     /// Whether the last line of the head has been read.
-    pub(super) is_complete: bool,
+    pub is_complete: bool,
 }
 
 impl RequestHead {
     /// Processes the next bytes, up to the end of the head. Returns how many of them follow the head.
-    pub(super) fn read(&mut self, bytes: &[u8]) -> usize {
+    pub fn read(&mut self, bytes: &[u8]) -> usize {
         for (index, &byte) in bytes.iter().enumerate() {
             if self.is_complete {
                 return bytes.len() - index;
@@ -39,7 +41,10 @@
     }
 
     fn end_line(&mut self) {
-        self.has_length |= self.line.starts_with(b"content-length:");
+        if let Some(value) = self.line.strip_prefix(b"content-length:") {
+            self.has_length = true;
+            self.content_length = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
+        }
         self.has_encoding |= self.line.starts_with(b"transfer-encoding:");
         let is_empty = self.line.is_empty() || self.line == b"\r";
         // Empty lines before a request do not end its head.
--- a/src/bin/proxy/main.rs
+++ b/src/bin/proxy/main.rs
@@ -16,6 +16,7 @@
 mod io;
 mod lifecycle;
 mod log;
+mod memory;
 mod observer;
 mod ops;
 mod recorder;
--- a/src/bin/proxy/startup/core_parts.rs
+++ b/src/bin/proxy/startup/core_parts.rs
@@ -6,6 +6,7 @@
 use crate::engine::{Engine, millis};
 use crate::error::Error;
 use crate::lifecycle::Lifecycle;
+use crate::memory::MemoryPlan;
 use crate::observer::Observer;
 use crate::upstream::{Limits, Pool};
 use load_balancer::client::traffic::Traffic;
@@ -13,10 +14,6 @@
 use std::rc::Rc;
 use tokio::sync::watch;
 
-/// Divisor of the configured memory that gives the budget of buffered bodies; a process that replaces this one needs the
-/// same budget at the same time.
-const BODY_MEMORY_DIVISOR: usize = 4;
-
 /// Returns whether calls are observed, for route reports or recordings.
 pub(super) fn is_observed(config: &Config) -> bool {
     config.routes.is_some() || config.record.is_some()
@@ -27,6 +24,9 @@
     pub(super) counters: Rc<Counters>,
     /// Number of processes that serve this address.
     pub(super) processes: watch::Sender<u32>,
+    pub(super) memory: MemoryPlan,
+    /// Limit of client connections, for which the descriptors are left that no backend connection needs.
+    pub(super) client_connections: usize,
     /// Memory budget of buffered bodies.
     pub(super) buffer_budget: Rc<BufferBudget>,
     pub(super) pool: Rc<Pool>,
@@ -44,15 +44,23 @@
         let site = &config.platform.site;
         let counters = Counters::new(site.classes.clone());
         let processes = watch::Sender::new(1);
+        // Only a process with an ops address can be replaced while it serves.
+        let memory = MemoryPlan::new(config.memory_bytes, config.ops.is_some(), usable_descriptors);
+        let for_backends = usable_descriptors / 2;
+        // Another process that serves this address has as many connections to backends.
+        let processes_planned = if config.ops.is_some() { 2 } else { 1 };
+        let client_connections =
+            usable_descriptors - for_backends.min(processes_planned * memory.backend_connections);
         let limits = Limits {
-            connections: usable_descriptors / 2,
+            connections: for_backends,
+            memory,
             processes: processes.subscribe(),
             connect_timeout: millis(site.connect_timeout_ms),
             idle_timeout: millis(site.connection_idle_ms),
             drain_grace: millis(site.drain_grace_ms),
             may_duplicate: site.may_hedge,
         };
-        let buffer_budget = BufferBudget::new(config.memory_bytes / BODY_MEMORY_DIVISOR);
+        let buffer_budget = BufferBudget::new(memory.body_bytes);
         let pool = Rc::new(Pool::new(limits, counters.attempts(), buffer_budget.clone()));
         let (watch_wanted_sender, watch_wanted) = watch::channel(false);
         let observer = is_observed(config).then(Observer::new);
@@ -67,6 +75,8 @@
         Ok(Core {
             counters,
             processes,
+            memory,
+            client_connections,
             buffer_budget,
             pool,
             observer,
--- a/src/bin/proxy/startup/mod.rs
+++ b/src/bin/proxy/startup/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::config::Config;
 use crate::descriptors::Descriptors;
-use crate::downstream::Downstream;
+use crate::downstream::{Downstream, Slots};
 use crate::engine::{ListedEngine, millis};
 use crate::error::Error;
 use crate::handover::SharedListeners;
@@ -216,9 +216,10 @@
         platform: config.platform,
         counters: core.counters.clone(),
         lifecycle: core.lifecycle.clone(),
-        // The pool of connections to backends has the other half.
-        connections: descriptors.usable - descriptors.usable / 2,
+        connections: core.client_connections,
         spare: descriptors.spare,
+        slots: Slots::new(core.memory.client_connections),
+        memory: core.memory,
         buffer_budget: core.buffer_budget.clone(),
         processes: core.processes.clone(),
         open: Cell::new(0),
--- a/src/bin/proxy/upstream/attempt.rs
+++ b/src/bin/proxy/upstream/attempt.rs
@@ -54,8 +54,8 @@
             Ok(_) if begin_by.is_some_and(|by| Instant::now() >= by) => Err(Outcome::NotSent),
             link => link,
         };
-        let link = match link {
-            Ok(link) => link,
+        let (link, _incomplete_permit) = match link {
+            Ok(connected) => connected,
             Err(outcome) => return report(AttemptEnd::Failed(outcome)),
         };
         let progress = link.progress.clone();
@@ -112,7 +112,12 @@
 }
 
 /// The phase `connect`: returns a connection on which the request may be sent, an idle one if there is any.
-async fn connect(pool: &Rc<Pool>, call: &UpstreamRequest, target: &Rc<Target>) -> Result<Link, Outcome> {
+async fn connect(
+    pool: &Rc<Pool>,
+    call: &UpstreamRequest,
+    target: &Rc<Target>,
+) -> Result<(Link, Option<Permit>), Outcome> {
+    let permit = permit_incomplete(pool, call).await?;
     let link = match pool.reuse(target.address) {
         Some(link) => link,
         None => pool.connect(target.address).await?,
@@ -126,7 +131,21 @@
     if call.client_gone() {
         return Err(Outcome::NotSent);
     }
-    Ok(link)
+    Ok((link, permit))
+}
+
+/// Returns a permit to send a request whose client has not sent it whole; a whole one needs none. Without a permit, the
+/// request waits until it is whole, or fails once the proxy can receive no more of it.
+async fn permit_incomplete(pool: &Pool, call: &UpstreamRequest) -> Result<Option<Permit>, Outcome> {
+    if call.is_complete() {
+        return Ok(None);
+    }
+    let permit = Permit::acquire(&pool.incomplete_requests, pool.limits.slow_connections());
+    if permit.is_some() {
+        return Ok(permit);
+    }
+    call.sendable().await;
+    if call.is_complete() { Ok(None) } else { Err(Outcome::NotSent) }
 }
 
 /// Sends the request on a connection, awaits its response, and returns a reusable connection to the pool.
@@ -184,7 +203,7 @@
     call: &UpstreamRequest,
 ) -> Result<AttemptEnd, Outcome> {
     let early = !link.progress.is_written();
-    let end = read_response(response, &pool.buffer_budget, call.client_deadline()).await;
+    let end = read_response(response, pool, call.client_deadline()).await;
     if !early || end.outcome() == Outcome::Rejected {
         return Ok(end);
     }
--- a/src/bin/proxy/upstream/mod.rs
+++ b/src/bin/proxy/upstream/mod.rs
@@ -9,7 +9,7 @@
 mod response;
 
 pub use attempt::Attempt;
-pub use pool::{Limits, Pool};
+pub use pool::{Limits, Permit, Pool};
 pub use request::{DEADLINE_MARGIN, UpstreamRequest, deadline_margin};
 
 use crate::body::{BufferReservation, RateLimitedBody};
@@ -25,9 +25,11 @@
     /// The response body, or the first part of it.
     pub data: Bytes,
     /// The rest of the body, if it is not complete in `data`.
-    pub remaining: Option<RateLimitedBody>,
+    pub remaining: Option<Box<RateLimitedBody>>,
     /// The reservation in the buffer budget for `data`.
     pub buffer_permit: Option<BufferReservation>,
+    /// The permit to pass on the rest of the body.
+    pub long_permit: Option<Permit>,
 }
 
 /// One process of a backend: its address, its start time, and the time of its drain.
--- a/src/bin/proxy/upstream/pool.rs
+++ b/src/bin/proxy/upstream/pool.rs
@@ -3,8 +3,9 @@
 //! Used by each attempt, and once a second in `close_expired`. Owns the idle connections and the count of open ones.
 
 use super::Target;
-use crate::body::{self, BufferBudget};
+use crate::body::BufferBudget;
 use crate::io::{Outgoing, Progress, Watched};
+use crate::memory::MemoryPlan;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use load_balancer::interface::Outcome;
@@ -23,10 +24,16 @@
 /// Fraction of the backends' idle timeout (`caps.connIdle`) after which the proxy closes an idle connection.
 const MAX_IDLE_FRACTION: f64 = 0.5;
 
+/// Largest part of the connections whose requests, or responses, a slow client may make last, in percent. The others are
+/// left for the requests of other clients.
+const SLOW_CONNECTIONS_PERCENT: usize = 60;
+
 /// The limits of the connection pool.
 pub struct Limits {
     /// Limit of open backend connections for all processes together.
     pub connections: usize,
+    /// What this process may hold.
+    pub memory: MemoryPlan,
     /// Number of processes that share the limit.
     pub processes: watch::Receiver<u32>,
     /// Timeout of a connect.
@@ -46,6 +53,10 @@
     open: Rc<Cell<usize>>,
     /// Number of connections on which the response of a superseded attempt is awaited.
     pub(super) superseded: Rc<Cell<usize>>,
+    /// Number of connections on which a request is sent that its client has not sent whole.
+    pub(super) incomplete_requests: Rc<Cell<usize>>,
+    /// Number of connections on which a long response flows.
+    pub(super) long_responses: Rc<Cell<usize>>,
     /// Number of attempts that were written completely.
     attempts: Rc<Cell<u64>>,
     pub(super) buffer_budget: Rc<BufferBudget>,
@@ -63,7 +74,7 @@
 }
 
 /// A permit out of a limited number, released when dropped.
-pub(super) struct Permit(Rc<Cell<usize>>);
+pub struct Permit(Rc<Cell<usize>>);
 
 impl Permit {
     /// Takes one permit if `count`, the number in use, is below `most`.
@@ -84,7 +95,13 @@
 impl Limits {
     /// Returns the limit of open connections for this process.
     pub(super) fn own_connections(&self) -> usize {
-        (self.connections / *self.processes.borrow() as usize).max(1)
+        let own = self.connections / *self.processes.borrow() as usize;
+        own.min(self.memory.backend_connections).max(1)
+    }
+
+    /// Returns the largest number of connections for requests, or responses, that a slow client may make last.
+    pub(super) fn slow_connections(&self) -> usize {
+        (self.own_connections() * SLOW_CONNECTIONS_PERCENT / 100).max(1)
     }
 }
 
@@ -97,6 +114,8 @@
             idle: RefCell::default(),
             open: Rc::default(),
             superseded: Rc::default(),
+            incomplete_requests: Rc::default(),
+            long_responses: Rc::default(),
             attempts,
             buffer_budget,
         }
@@ -172,7 +191,7 @@
         let watched = Watched::counting(TokioIo::new(stream), self.attempts.clone(), is_quiet);
         let progress = watched.progress();
         let (sender, connection) = http1::Builder::new()
-            .max_buf_size(body::HTTP_BUFFER_BYTES)
+            .max_buf_size(self.limits.memory.http_buffer_bytes)
             .handshake(watched)
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Waits until the request is complete, or the rest of it needs an attempt that takes what is there.
+    pub(super) async fn sendable(&self) {
+        if let Some(body) = &self.remaining_body {
+            body.sendable().await;
+        }
+    }
+
     /// Returns whether the client has left. Checks the socket instead of relying on the event loop: after a pause
     /// of this process, the client's close and the event that leads to a send may both be pending.
     pub fn client_gone(&self) -> bool {
--- a/src/bin/proxy/upstream/response.rs
+++ b/src/bin/proxy/upstream/response.rs
@@ -3,9 +3,9 @@
 //! Runs once for each response head that arrives in time. Buffers small bodies, and the first part of longer ones; the
 //! buffered bytes count against the buffer budget until the response is dropped.
 
+use super::pool::{Permit, Pool};
 use super::{AttemptEnd, UpstreamResponse};
 use crate::body::{self, BufferBudget, Lateness, RateLimitedBody};
-use bytes::BytesMut;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
@@ -25,7 +25,7 @@
 /// Reads the buffered part of a response and returns the end of its attempt.
 pub(super) async fn read_response(
     response: Response<Incoming>,
-    buffer_budget: &Rc<BufferBudget>,
+    pool: &Pool,
     client_deadline: Instant,
 ) -> AttemptEnd {
     let (head, body) = response.into_parts();
@@ -37,12 +37,16 @@
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
     let length = body.size_hint().exact();
     // A truncated response counts as a reset: the request may have run.
-    let Ok(mut response) = buffer(RateLimitedBody::new(body, body::BACKEND_RATE_FLOOR), buffer_budget).await
-    else {
+    let Ok(mut response) = buffer(RateLimitedBody::of_backend(body), &pool.buffer_budget).await else {
         return AttemptEnd::Failed(Outcome::Reset);
     };
     if let Some(remaining) = &mut response.remaining {
         remaining.set_lateness(lateness(length, client_deadline + OVERDUE_GRACE));
+        response.long_permit = Permit::acquire(&pool.long_responses, pool.limits.slow_connections());
+        if response.long_permit.is_none() {
+            // Any other backend would answer as long, and it has run.
+            return AttemptEnd::Failed(Outcome::Malformed);
+        }
     }
     match head.status {
         StatusCode::OK => AttemptEnd::Response(response),
@@ -69,16 +73,24 @@
     let Some(first) = body.next().await? else {
         return Ok(UpstreamResponse::default());
     };
-    let Some(mut buffer_permit) = buffer_budget.reserve(length) else {
-        return Ok(UpstreamResponse { data: first, remaining: Some(body), buffer_permit: None });
+    let Some(mut buffer_permit) = buffer_budget.reserve_first_piece(length) else {
+        return Ok(UpstreamResponse {
+            data: first,
+            remaining: Some(Box::new(body)),
+            ..UpstreamResponse::default()
+        });
     };
-    let mut buffered = BytesMut::new();
-    buffered.extend_from_slice(&first);
+    let mut buffered = Vec::new();
+    body::append(&mut buffered, &first);
     let complete = match length {
-        Some(_) => body.read_into(&mut buffered).await?,
-        None => timeout(BUFFERING_TIMEOUT, body.read_into(&mut buffered)).await.unwrap_or(Ok(false))?,
+        Some(_) => body.read_into(&mut buffered, &mut buffer_permit).await?,
+        None => {
+            let reading = body.read_into(&mut buffered, &mut buffer_permit);
+            timeout(BUFFERING_TIMEOUT, reading).await.unwrap_or(Ok(false))?
+        }
     };
     buffer_permit.shrink(buffered.len());
-    let remaining = (!complete).then_some(body);
-    Ok(UpstreamResponse { data: buffered.freeze(), remaining, buffer_permit: Some(buffer_permit) })
+    let remaining = (!complete).then(|| Box::new(body));
+    let (data, buffer_permit) = (buffered.into(), Some(buffer_permit));
+    Ok(UpstreamResponse { data, remaining, buffer_permit, long_permit: None })
 }
--- a/tests/slow_peers/main.rs
+++ b/tests/slow_peers/main.rs
@@ -7,4 +7,7 @@
 
 mod answers;
 mod backend;
+mod flood;
+mod memory;
+mod peers;
 mod requests;
--- a/tests/unit/proxy/downstream.rs
+++ b/tests/unit/proxy/downstream.rs
@@ -24,6 +24,7 @@
     let processes = watch::Sender::new(1);
     let limits = Limits {
         connections: 8,
+        memory: MemoryPlan::new(32 << 20, false, 0),
         processes: processes.subscribe(),
         connect_timeout: Duration::from_secs(2),
         idle_timeout: Duration::from_secs(60),
@@ -42,6 +43,8 @@
         lifecycle,
         connections: 8,
         spare: 1,
+        slots: Slots::new(MemoryPlan::new(32 << 20, false, 0).client_connections),
+        memory: MemoryPlan::new(32 << 20, false, 0),
         buffer_budget,
         processes,
         open,
--- a/tests/unit/proxy/upstream/pool.rs
+++ b/tests/unit/proxy/upstream/pool.rs
@@ -10,6 +10,7 @@
 fn pool() -> Pool {
     let limits = Limits {
         connections: 8,
+        memory: MemoryPlan::new(32 << 20, false, 0),
         processes: watch::Sender::new(1).subscribe(),
         connect_timeout: Duration::from_secs(20),
         idle_timeout: Duration::from_secs(60),
