Time a first request from its read unless it waited for a slot

Cause: since the arrival of a first request was taken for a wait behind an earlier one, so that one with 0 ms to wait was refused before it was sent (short_deadlines::a_short_deadline_is_kept_..., 503 in place of 502). Now only a request that lay in the system's buffer for 5 ms or more is timed from its arrival. short_deadlines 4 of 4. The case of 32 MB in requests::a_slow_client_... has a client of 4.5 s and a backend of 5 MB a second: it failed once in a whole suite run, beside tests of 700 peers each, where a backend of 10 MB a second with a client of 1.5 s was slowed under 4 MiB a wait, the bound itself.

--- a/src/bin/proxy/downstream/first_head.rs
+++ b/src/bin/proxy/downstream/first_head.rs
@@ -27,6 +27,8 @@
 const LOOK_AGAIN_DELAY: Duration = Duration::from_millis(2);
 /// Interval at which an incomplete request that waits for a slot is looked at.
 const WAITING_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Least time in the system's buffer that counts as waiting.
+const LEAST_WAIT: Duration = Duration::from_millis(5);
 /// The end of a body in chunks, with or without trailers.
 const CHUNKS_END: &[u8] = b"\r\n\r\n";
 
@@ -62,6 +64,10 @@
             None => None,
         };
         match (arrived, slot) {
+            // One that has not waited is timed from when it is read.
+            (Some(arrived), Some(slot)) if arrived.grew_at.elapsed() < LEAST_WAIT => {
+                Some((ByteCount::new(0), slot))
+            }
             (Some(arrived), Some(slot)) => Some((arrived, slot)),
             _ => {
                 close(stream, idle_close).await;
