Never run a request id again that may have run, here or at the other process

What callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade. Here: 14 of 14 cases (client left, reset, served or failed; unsafe and keyed; same process and the next one) ran twice. The other half of the picture is not ours: requests of a client that closed with much unread were not sent on in 24 of 24 cases.

Cause: nothing remembered an id past its request. Now an id (hash of id and path) is claimed before the first attempt of an unsafe or keyed request is written, and released when no attempt can have run, so that what was never sent on is served when it comes again. A claimed id is answered 409 at once, which counts as failed. Processes at one address record claims in their lock files in TMPDIR, a ring each, written before the attempt and read at each request.

--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -102,7 +102,7 @@
         let received_at = request.received_at;
         let trace = request.call.trace.clone();
         source.client.set_request_complete(body.is_none());
-        let mut ended = pin!(ended(self.engine.admit(request)));
+        let mut ended = pin!(ended(self.admit(request)));
         let Some(body) = body else {
             let end = end_or_client_left(ended, source.client).await;
             return trace.answered(respond(self.fail_late_stream(end, received_at), record));
@@ -132,6 +132,14 @@
         trace.answered(respond_with_unread_body(end, record, &body, announced, source))
     }
 
+    /// Passes a request to the engine, unless its id may have run. Fails with the end of the request.
+    fn admit(&self, request: ParsedRequest) -> Result<AdmittedRequest, RequestEnd> {
+        if request.call.id_hash.is_some_and(|id| self.sent_ids.may_have_run(id)) {
+            return Err(RequestEnd::MayHaveRun);
+        }
+        self.engine.admit(request).map_err(|NotAdmitted| RequestEnd::Rejected { retry_after: None })
+    }
+
     /// Turns a streamed response into an exceeded deadline if the request was completed too late after the stop
     /// began. The end of a streamed response is not known, and the platform's SIGKILL could cut it off.
     fn fail_late_stream(&self, end: RequestEnd, complete_at: Instant) -> RequestEnd {
@@ -146,11 +154,11 @@
     }
 }
 
-/// Waits for the end of an admitted request; one that was not admitted ends at once as rejected.
-async fn ended(admitted: Result<AdmittedRequest, NotAdmitted>) -> RequestEnd {
+/// Waits for the end of an admitted request; one that was not admitted has ended.
+async fn ended(admitted: Result<AdmittedRequest, RequestEnd>) -> RequestEnd {
     match admitted {
         Ok(request) => request.ended().await,
-        Err(NotAdmitted) => RequestEnd::Rejected { retry_after: None },
+        Err(end) => end,
     }
 }
 
--- a/src/bin/proxy/downstream/mod.rs
+++ b/src/bin/proxy/downstream/mod.rs
@@ -20,6 +20,7 @@
 use crate::engine::Engine;
 use crate::lifecycle::Lifecycle;
 use crate::memory::MemoryPlan;
+use crate::sent_ids::SentIds;
 use load_balancer::platform_settings::PlatformSettings;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -44,6 +45,8 @@
     pub slots: Slots,
     /// What this process may hold.
     pub memory: MemoryPlan,
+    /// The ids of requests that may have run.
+    pub sent_ids: Rc<SentIds>,
     /// Memory budget for buffered bodies.
     pub buffer_budget: Rc<BufferBudget>,
     /// Number of processes that serve this address.
--- a/src/bin/proxy/downstream/read_request.rs
+++ b/src/bin/proxy/downstream/read_request.rs
@@ -9,6 +9,7 @@
 use crate::counters::RequestRecord;
 use crate::engine::{ParsedRequest, RequestEnd, millis};
 use crate::request_trace::RequestTrace;
+use crate::sent_ids::IdHash;
 use crate::upstream::UpstreamRequest;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -17,6 +18,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use load_balancer::interface::Idempotency;
 use percent_encoding::percent_decode_str;
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +40,7 @@
     uri: Uri,
     client_timeout: Duration,
     idempotency_key: Option<HeaderValue>,
+    id_hash: Option<IdHash>,
     ordering_key: Option<String>,
 }
 
@@ -85,6 +88,8 @@
             uri: checked.uri,
             host: checked.host,
             id: checked.id,
+            id_hash: checked.id_hash,
+            runs: Cell::new(0),
             key: checked.idempotency_key,
             buffered_body: buffered,
             remaining_body,
@@ -139,7 +144,18 @@
         let host = headers.get(HOST).map(own_copy);
         let uri = uri.path_and_query().and_then(|path| Uri::try_from(path.as_str()).ok());
         let uri = uri.ok_or_else(bad_request)?;
-        Ok(CheckedHead { class, tenant, id, host, uri, client_timeout, idempotency_key, ordering_key })
+        let id_hash = needs_key.map(|_| IdHash::new(&id, &uri));
+        Ok(CheckedHead {
+            class,
+            tenant,
+            id,
+            id_hash,
+            host,
+            uri,
+            client_timeout,
+            idempotency_key,
+            ordering_key,
+        })
     }
 
     /// Returns the index of the tenant that the headers name. The name may contain non-ASCII bytes.
--- a/src/bin/proxy/downstream/respond.rs
+++ b/src/bin/proxy/downstream/respond.rs
@@ -105,6 +105,7 @@
         RequestEnd::Served(_) => (StatusCode::OK, CountedAs::Served),
         RequestEnd::Rejected { .. } => (StatusCode::SERVICE_UNAVAILABLE, CountedAs::Rejected),
         RequestEnd::UpstreamFailed => (StatusCode::BAD_GATEWAY, CountedAs::Failed),
+        RequestEnd::MayHaveRun => (StatusCode::CONFLICT, CountedAs::Failed),
         RequestEnd::DeadlineExceeded => (StatusCode::GATEWAY_TIMEOUT, CountedAs::Failed),
         RequestEnd::ClientGone => (StatusCode::REQUEST_TIMEOUT, CountedAs::Failed),
     }
--- a/src/bin/proxy/engine/request.rs
+++ b/src/bin/proxy/engine/request.rs
@@ -33,6 +33,8 @@
         /// How long the client should wait before it sends the request again, if the balancer says so.
         retry_after: Option<Duration>,
     },
+    /// A request with the same id was sent to a backend before, here or at another process; it may have run.
+    MayHaveRun,
     /// Every allowed attempt failed; the request may have run.
     UpstreamFailed,
     /// The request had no response in time, and the balancer had not ended it; it may have run. The balancer's own
@@ -142,7 +144,9 @@
         self.ending.set(match end {
             RequestEnd::Served(_) => Ending::Served,
             RequestEnd::Rejected { .. } => Ending::Refused,
-            RequestEnd::UpstreamFailed | RequestEnd::DeadlineExceeded => Ending::Failed,
+            RequestEnd::UpstreamFailed | RequestEnd::MayHaveRun | RequestEnd::DeadlineExceeded => {
+                Ending::Failed
+            }
             RequestEnd::ClientGone => Ending::Left,
         });
         end
--- a/src/bin/proxy/handover.rs
+++ b/src/bin/proxy/handover.rs
@@ -58,6 +58,16 @@
         Err(last_error)
     }
 
+    /// Returns the lock files of the address, by index. A process records the ids of the requests that it sends in its own.
+    pub fn id_files(&self) -> Vec<PathBuf> {
+        self.lock_files.clone()
+    }
+
+    /// Returns the index of this process among those at the address.
+    pub fn own_index(&self) -> usize {
+        self.own_index
+    }
+
     /// Returns the number of processes at the address, including this one.
     pub fn count(&self) -> u32 {
         let files = self.lock_files.iter().enumerate();
--- a/src/bin/proxy/main.rs
+++ b/src/bin/proxy/main.rs
@@ -22,6 +22,7 @@
 mod recorder;
 mod request_trace;
 mod route_table;
+mod sent_ids;
 mod startup;
 mod upstream;
 
--- a/src/bin/proxy/startup/core_parts.rs
+++ b/src/bin/proxy/startup/core_parts.rs
@@ -8,6 +8,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::memory::MemoryPlan;
 use crate::observer::Observer;
+use crate::sent_ids::SentIds;
 use crate::upstream::{Limits, Pool};
 use load_balancer::client::traffic::Traffic;
 use load_balancer::interface::ListKind;
@@ -60,8 +61,9 @@
             drain_grace: millis(site.drain_grace_ms),
             may_duplicate: site.may_hedge,
         };
+        let sent_ids = Rc::new(SentIds::new(config.memory_bytes));
         let buffer_budget = BufferBudget::new(memory.body_bytes);
-        let pool = Rc::new(Pool::new(limits, counters.attempts(), buffer_budget.clone()));
+        let pool = Rc::new(Pool::new(limits, counters.attempts(), buffer_budget.clone(), sent_ids));
         let (watch_wanted_sender, watch_wanted) = watch::channel(false);
         let observer = is_observed(config).then(Observer::new);
         let platform = config.platform.clone();
--- a/src/bin/proxy/startup/mod.rs
+++ b/src/bin/proxy/startup/mod.rs
@@ -196,7 +196,10 @@
         bound.map_err(|source| Error::Listen { what: "listening", address: config.listen, source })?;
     if config.ops.is_some() {
         match SharedListeners::join(&std::env::temp_dir(), bound) {
-            Ok(listeners) => drop(spawn_local(listeners.publish_count(core.processes.clone()))),
+            Ok(listeners) => {
+                core.pool.sent_ids.share(listeners.id_files(), listeners.own_index());
+                drop(spawn_local(listeners.publish_count(core.processes.clone())));
+            }
             Err(e) => {
                 warn!("not counted among the processes that share {bound}, continuing as the only one: {e}")
             }
@@ -220,6 +223,7 @@
         spare: descriptors.spare,
         slots: Slots::new(core.memory.client_connections),
         memory: core.memory,
+        sent_ids: core.pool.sent_ids.clone(),
         buffer_budget: core.buffer_budget.clone(),
         processes: core.processes.clone(),
         open: Cell::new(0),
--- a/src/bin/proxy/upstream/attempt.rs
+++ b/src/bin/proxy/upstream/attempt.rs
@@ -62,12 +62,18 @@
         let mut exchange = pin!(exchange(link, &pool, &call, &target, deadline));
         let outcome = tokio::select! {
             biased;
-            end = &mut exchange => return report(end),
+            end = &mut exchange => {
+                if end.outcome().never_ran() {
+                    call.undo_run(&pool.sent_ids);
+                }
+                return report(end);
+            }
             outcome = &mut cancel_or_timeout => outcome,
         };
         let written = progress.is_written();
         if !written {
             progress.abandon();
+            call.undo_run(&pool.sent_ids);
         }
         report(end_without_response(&call, outcome));
         if written && pool.limits.may_duplicate {
@@ -156,6 +162,9 @@
     target: &Rc<Target>,
     deadline: Instant,
 ) -> AttemptEnd {
+    if !call.begin_run(&pool.sent_ids) {
+        return AttemptEnd::Failed(Outcome::Malformed);
+    }
     let response = match forward(&mut link, call, target, deadline).await {
         Ok(response) => response,
         Err(outcome) => return AttemptEnd::Failed(outcome),
--- a/src/bin/proxy/upstream/pool.rs
+++ b/src/bin/proxy/upstream/pool.rs
@@ -6,6 +6,7 @@
 use crate::body::BufferBudget;
 use crate::io::{Outgoing, Progress, Watched};
 use crate::memory::MemoryPlan;
+use crate::sent_ids::SentIds;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use load_balancer::interface::Outcome;
@@ -60,6 +61,8 @@
     /// Number of attempts that were written completely.
     attempts: Rc<Cell<u64>>,
     pub(super) buffer_budget: Rc<BufferBudget>,
+    /// The ids of requests that may have run.
+    pub sent_ids: Rc<SentIds>,
 }
 
 struct IdleConnection {
@@ -108,7 +111,12 @@
 impl Pool {
     /// Creates an empty pool. Attempts that were written completely are counted in `attempts`; buffered responses are
     /// charged to `buffer_budget`.
-    pub fn new(limits: Limits, attempts: Rc<Cell<u64>>, buffer_budget: Rc<BufferBudget>) -> Self {
+    pub fn new(
+        limits: Limits,
+        attempts: Rc<Cell<u64>>,
+        buffer_budget: Rc<BufferBudget>,
+        sent_ids: Rc<SentIds>,
+    ) -> Self {
         Pool {
             limits,
             idle: RefCell::default(),
@@ -118,6 +126,7 @@
             long_responses: Rc::default(),
             attempts,
             buffer_budget,
+            sent_ids,
         }
     }
 
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -6,9 +6,11 @@
 use crate::body::{BodyState, BufferReservation, RemainingBody};
 use crate::io::{Client, Outgoing, Progress};
 use crate::request_trace::RequestTrace;
+use crate::sent_ids::{IdHash, SentIds};
 use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{Method, Request, Uri};
+use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -44,6 +46,10 @@
     pub buffered_body: Bytes,
     /// The rest of a body that is not buffered completely.
     pub remaining_body: Option<Rc<RemainingBody>>,
+    /// The hash of its id, if the request must not run twice.
+    pub id_hash: Option<IdHash>,
+    /// Number of attempts that may have run.
+    pub runs: Cell<u32>,
     /// The log of the request's phases.
     pub trace: Rc<RequestTrace>,
     /// The client that sent the request.
@@ -68,6 +74,26 @@
         }
     }
 
+    /// Counts an attempt that is about to be written. Returns false if the request may have run for another client, or
+    /// at another process, and the attempt must not be written.
+    pub(super) fn begin_run(&self, sent_ids: &SentIds) -> bool {
+        let is_first = self.runs.get() == 0;
+        let may_run = !is_first || self.id_hash.is_none_or(|id| sent_ids.claim(id));
+        if may_run {
+            self.runs.update(|runs| runs + 1);
+        }
+        may_run
+    }
+
+    /// Stops to count an attempt that cannot have run.
+    pub(super) fn undo_run(&self, sent_ids: &SentIds) {
+        let runs = self.runs.get().saturating_sub(1);
+        self.runs.set(runs);
+        if let Some(id) = self.id_hash.filter(|_| runs == 0) {
+            sent_ids.release(id);
+        }
+    }
+
     /// Waits until the request is complete, or the rest of it needs an attempt that takes what is there.
     pub(super) async fn sendable(&self) {
         if let Some(body) = &self.remaining_body {
--- a/tests/slow_peers/main.rs
+++ b/tests/slow_peers/main.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod backend;
 mod flood;
+mod ids;
 mod memory;
 mod peers;
 mod requests;
