Read the first bytes of a request, and look at none twice

Need: a connection waited for its first head by looking at the system's buffer (MSG_PEEK) up to 16 KiB. Where the sockets are led by another library, that flag is not known to be heard (suspected, not run), and a head that comes byte by byte is looked at anew each time. Now up to 1 KiB is read and handed on to the HTTP library with the connection; a longer head waits for a slot with the incomplete requests. How much lies unread is asked as before (FIONREAD). The plan counts 4 KiB for each connection that waits.

--- a/src/bin/proxy/downstream/connection.rs
+++ b/src/bin/proxy/downstream/connection.rs
@@ -138,10 +138,13 @@
         }
         let accepted_at = Instant::now();
         let first_request = self.await_first_request(&mut stream, &mut idle_close).await;
-        let Some((arrived, _slot)) = first_request else { return };
+        let Some((first, _slot)) = first_request else { return };
         let over_limit = over_limit || self.served() > self.served_connections();
-        let stream = ClientStream::new(stream, arrived, self.buffer_budget.clone());
+        let stream = ClientStream::new(stream, first.bytes, self.buffer_budget.clone());
         let client = stream.client();
+        if let Some(arrived_at) = first.arrived_at {
+            client.set_arrived_at(arrived_at);
+        }
         let stream = LingeringClose::new(stream);
         let activity = Activity {
             idle_since: Cell::new(accepted_at),
--- a/src/bin/proxy/downstream/first_head.rs
+++ b/src/bin/proxy/downstream/first_head.rs
@@ -1,6 +1,6 @@
-//! Waits for the head of a connection's first request, which stays in the system's buffer until it is complete.
+//! Waits for the head of a connection's first request. All but its first bytes stay in the system's buffer.
 //!
-//! A connection without a complete head costs little memory so, and only those with one wait for a slot.
+//! A connection without a head costs little memory so, and only those with one, or with a long one, wait for a slot.
 
 use super::Downstream;
 use super::connection::{
@@ -8,23 +8,19 @@
 };
 use super::lingering_close::LingeringClose;
 use super::slots::Slot;
-use crate::io::{ByteCount, RequestHead};
+use crate::io::RequestHead;
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
-use std::future::{Future, pending, poll_fn};
+use rustix::io::ioctl_fionread;
+use std::future::{pending, poll_fn};
 use std::io;
-use std::pin::pin;
-use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-/// Most bytes that are looked at.
-const MAX_LOOK_BYTES: usize = 16 * 1024;
-/// Pause after a look at an incomplete request, so that one that comes byte by byte is not looked at for each.
-const LOOK_AGAIN_DELAY: Duration = Duration::from_millis(2);
+/// Most bytes of a first request that are read before it has a slot: most heads are shorter.
+const MAX_FIRST_BYTES: usize = 1024;
 /// Interval at which an incomplete request that waits for a slot is looked at.
 const WAITING_LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Least time in the system's buffer that counts as waiting.
@@ -35,45 +31,49 @@
 /// The first request of a connection, as far as it has arrived.
 struct FirstRequest<'a> {
     stream: &'a TcpStream,
+    /// The bytes that were read, in order.
+    bytes: Vec<u8>,
     head: RequestHead,
-    /// Number of bytes that have been looked at.
-    seen: usize,
     /// Number of bytes up to the end of the head, once that has arrived.
     head_bytes: usize,
-    ends_like_chunks: bool,
+    /// Whether no more can be read.
+    has_ended: bool,
+}
+
+/// What was read of a first request before it had its slot.
+pub(super) struct FirstBytes {
+    /// The bytes that were read, in order.
+    pub(super) bytes: Vec<u8>,
+    /// When they had arrived, if the request has waited since then.
+    pub(super) arrived_at: Option<Instant>,
 }
 
 impl Downstream {
-    /// Waits until the head of the first request has arrived, or the library has to answer an error, and then for a
-    /// slot. Returns what had arrived then, or `None` after closing a connection that is too slow.
+    /// Waits until the head of the first request has arrived, or its first bytes, and then for a slot. Returns what was
+    /// read, or `None` after closing a connection that is too slow.
     pub(super) async fn await_first_request(
         &self,
         stream: &mut TcpStream,
         idle_close: &mut watch::Receiver<IdleCloseReason>,
-    ) -> Option<(ByteCount, Slot)> {
+    ) -> Option<(FirstBytes, Slot)> {
         let accepted_at = Instant::now();
         let mut request = FirstRequest::new(stream);
-        let arrived = tokio::select! {
+        let arrived_at = tokio::select! {
             biased;
-            arrived = request.head_arrived(self.memory.http_buffer_bytes) => arrived,
+            arrived_at = request.head_arrived() => arrived_at,
             () = sleep(FIRST_REQUEST_TIMEOUT) => None,
             () = asked_to_close(idle_close, accepted_at) => None,
         };
-        let slot = match arrived {
+        let slot = match arrived_at {
             Some(_) => self.acquire_slot(&mut request, idle_close).await,
             None => None,
         };
-        match (arrived, slot) {
-            // One that has not waited is timed from when it is read.
-            (Some(arrived), Some(slot)) if arrived.grew_at.elapsed() < LEAST_WAIT => {
-                Some((ByteCount::new(0), slot))
-            }
-            (Some(arrived), Some(slot)) => Some((arrived, slot)),
-            _ => {
-                close(stream, idle_close).await;
-                None
-            }
-        }
+        let Some(slot) = slot else {
+            close(stream, idle_close).await;
+            return None;
+        };
+        let arrived_at = arrived_at.filter(|at| at.elapsed() >= LEAST_WAIT);
+        Some((FirstBytes { bytes: request.bytes, arrived_at }, slot))
     }
 
     /// Takes a slot. One whose request has arrived whole does not wait behind those that are incomplete, of which one
@@ -98,72 +98,76 @@
 
 impl<'a> FirstRequest<'a> {
     fn new(stream: &'a TcpStream) -> Self {
-        let head = RequestHead::default();
-        FirstRequest { stream, head, seen: 0, head_bytes: 0, ends_like_chunks: false }
+        FirstRequest {
+            stream,
+            bytes: Vec::new(),
+            head: RequestHead::default(),
+            head_bytes: 0,
+            has_ended: false,
+        }
+    }
+
+    /// Waits until a head or [`MAX_FIRST_BYTES`] have arrived, or no more can. Returns when that was, or `None` if the
+    /// client left before its first byte.
+    async fn head_arrived(&mut self) -> Option<Instant> {
+        while !self.head.is_complete && !self.is_full() && !self.has_ended {
+            self.stream.readable().await.ok()?;
+            self.read();
+        }
+        (!self.bytes.is_empty()).then(Instant::now)
     }
 
-    /// Waits until a head or `limit` bytes have arrived, or no more can; `None` if the client left before its first
-    /// byte.
-    async fn head_arrived(&mut self, limit: usize) -> Option<ByteCount> {
-        loop {
-            let before = self.seen;
-            poll_fn(|cx| self.look(cx)).await.ok().filter(|()| self.seen > 0)?;
-            let is_full = self.seen >= limit.min(MAX_LOOK_BYTES);
-            if self.head.is_complete || is_full || self.seen == before && self.is_read_closed() {
-                return Some(ByteCount::new(self.seen as u64));
+    /// Reads what has arrived, up to the limit.
+    fn read(&mut self) {
+        let mut chunk = [0; MAX_FIRST_BYTES];
+        while !self.is_full() && !self.has_ended {
+            match self.stream.try_read(&mut chunk[self.bytes.len()..]) {
+                Ok(n) if n > 0 => self.push(&chunk[self.bytes.len()..][..n]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                // The library meets the end, or the error, when it reads on.
+                Ok(_) | Err(_) => self.has_ended = true,
             }
-            // The next bytes make the stream readable again.
-            let no_more = || io::Result::<()>::Err(io::ErrorKind::WouldBlock.into());
-            let _ = self.stream.try_io(Interest::READABLE, no_more);
-            sleep(LOOK_AGAIN_DELAY).await;
         }
     }
 
-    /// Looks at what has arrived without reading it.
-    fn look(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut bytes = [0; MAX_LOOK_BYTES];
-        let mut arrived = ReadBuf::new(&mut bytes);
-        ready!(self.stream.poll_peek(cx, &mut arrived))?;
-        let arrived = arrived.filled();
+    fn push(&mut self, arrived: &[u8]) {
+        self.bytes.reserve_exact(arrived.len());
+        self.bytes.extend_from_slice(arrived);
         if !self.head.is_complete {
-            let after_head = self.head.read(arrived.get(self.seen..).unwrap_or_default());
-            self.head_bytes = arrived.len() - after_head;
+            self.head_bytes = self.bytes.len() - self.head.read(arrived);
         }
-        self.seen = arrived.len();
-        self.ends_like_chunks = arrived.get(self.head_bytes..).unwrap_or_default().ends_with(CHUNKS_END);
-        Poll::Ready(Ok(()))
     }
 
-    /// Returns whether the request had arrived whole at the last look, as far as that is known. One that the library
-    /// answers with an error counts as whole.
+    fn is_full(&self) -> bool {
+        self.bytes.len() >= MAX_FIRST_BYTES
+    }
+
+    /// Returns whether the request is known to have arrived whole, or to end here.
     fn is_whole(&self) -> bool {
+        let unread = ioctl_fionread(self.stream).unwrap_or(0);
         match (self.head.is_complete, self.head.has_encoding, self.head.content_length) {
-            (true, true, _) => self.ends_like_chunks,
-            (true, false, Some(length)) => (self.seen - self.head_bytes) as u64 >= length,
-            _ => true,
+            _ if self.has_ended => true,
+            (false, ..) => false,
+            (true, true, _) => unread == 0 && self.bytes[self.head_bytes..].ends_with(CHUNKS_END),
+            (true, false, length) => {
+                (self.bytes.len() - self.head_bytes) as u64 + unread >= length.unwrap_or(0)
+            }
         }
     }
 
-    /// Returns whether the request had surely not arrived whole at the last look.
+    /// Returns whether the request has surely not arrived whole.
     fn is_incomplete(&self) -> bool {
-        !self.is_whole() && (self.seen < MAX_LOOK_BYTES || !self.head.has_encoding)
+        let has_unread = ioctl_fionread(self.stream).is_ok_and(|unread| unread > 0);
+        !self.is_whole() && (self.head.is_complete && !self.head.has_encoding || !has_unread)
     }
 
-    /// Waits until the request has arrived whole, or more of it than is looked at.
+    /// Waits until the request has arrived whole, as far as that is seen.
     async fn whole(&mut self) {
-        while !self.is_whole() && self.seen < MAX_LOOK_BYTES {
+        while !self.is_whole() {
             sleep(WAITING_LOOK_INTERVAL).await;
-            let _ = poll_fn(|cx| self.look(cx)).await;
-        }
-        if !self.is_whole() {
-            pending().await
+            self.read();
         }
     }
-
-    fn is_read_closed(&self) -> bool {
-        let ready = pin!(self.stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
-    }
 }
 
 /// Waits until connections are short and this one has waited for too long.
--- a/src/bin/proxy/io/client.rs
+++ b/src/bin/proxy/io/client.rs
@@ -80,6 +80,11 @@
         ahead.end.is_some() || matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Sets when all that has arrived up to now had arrived.
+    pub fn set_arrived_at(&self, arrived_at: Instant) {
+        self.received.set(ByteCount { bytes: self.arrived_bytes(), grew_at: arrived_at });
+    }
+
     /// Returns the number of bytes that have arrived from the client since it connected, read or not. Where the system
     /// does not tell how many are unread, those are not counted.
     pub fn arrived_bytes(&self) -> u64 {
@@ -143,16 +148,16 @@
 }
 
 impl ClientStream {
-    /// Splits a TCP stream, on which `arrived` bytes wait, into its two directions. What is read ahead is charged to `budget`.
-    pub fn new(stream: TcpStream, arrived: ByteCount, budget: Rc<BufferBudget>) -> Self {
+    /// Splits a TCP stream, of which `first_bytes` were read, into its two directions. What is read ahead is charged to `budget`.
+    pub fn new(stream: TcpStream, first_bytes: Vec<u8>, budget: Rc<BufferBudget>) -> Self {
         let (read, write) = stream.into_split();
         let bytes_read = Rc::<Cell<u64>>::default();
         let reader = CountingReader { half: read, bytes_read: bytes_read.clone() };
         let client = Client {
             stream: RefCell::new(TokioIo::new(reader)),
             bytes_read,
-            ahead: RefCell::new(UnparsedBytes::new(budget)),
-            received: Cell::new(arrived),
+            ahead: RefCell::new(UnparsedBytes::new(first_bytes, budget)),
+            received: Cell::new(ByteCount::new(0)),
             has_read_all: Cell::default(),
             request_complete: Cell::default(),
         };
--- a/src/bin/proxy/io/unparsed_bytes.rs
+++ b/src/bin/proxy/io/unparsed_bytes.rs
@@ -27,9 +27,9 @@
 }
 
 impl UnparsedBytes {
-    /// Creates an empty buffer that is charged to `budget`.
-    pub(super) fn new(budget: Rc<BufferBudget>) -> Self {
-        UnparsedBytes { kept: Vec::new(), budget, permit: None, discarded: 0, end: None }
+    /// Creates a buffer of the bytes that were read first, which is charged to `budget`.
+    pub(super) fn new(first_bytes: Vec<u8>, budget: Rc<BufferBudget>) -> Self {
+        UnparsedBytes { kept: first_bytes, budget, permit: None, discarded: 0, end: None }
     }
 
     /// Reads the available bytes up to the limit of the read-ahead buffer. With `discards`, reads and discards
--- a/src/bin/proxy/memory.rs
+++ b/src/bin/proxy/memory.rs
@@ -8,7 +8,7 @@
 /// Bytes of the program, the runtime, the endpoint list and the control plane's clients.
 const BASE_BYTES: usize = 7 << 20;
 /// Bytes of an accepted connection whose first request has not arrived.
-const WAITING_BYTES: usize = 3 << 10;
+const WAITING_BYTES: usize = 4 << 10;
 /// Most accepted connections that are planned for: those of 1,024 descriptors.
 const MAX_WAITING: usize = 1024;
 /// Divisor that gives the part of the rest for buffered bodies.
