--- a/src/bin/proxy/downstream/connection.rs
+++ b/src/bin/proxy/downstream/connection.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioTimer;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::fmt;
 use std::future::ready;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
+use tracing::debug;
 
 /// Longest time that a client may take to send a request's head, including the idle time before it.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
@@ -58,6 +60,16 @@
     Stopping,
 }
 
+impl fmt::Display for IdleCloseReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            IdleCloseReason::LimitReached => "the connection limit is reached",
+            IdleCloseReason::SlotsTaken => "others wait for a slot",
+            IdleCloseReason::Stopping => "the process stops",
+        })
+    }
+}
+
 /// The state of a connection's requests that decides when the connection may close.
 struct Activity {
     idle_since: Cell<Instant>,
@@ -111,12 +123,14 @@
         let is_short = reason != IdleCloseReason::Stopping;
         if is_short && self.receiving.waits_for_slow_client() && may_close(reason) {
             // A request that its client has not sent whole was not taken.
+            debug!("connection closed: its client sends a body slowly, and {reason}");
             return Decision::Drop;
         }
         let allowed =
             if self.had_request.get() { IDLE_TIMEOUT_AT_LIMIT } else { FIRST_REQUEST_TIMEOUT_AT_LIMIT };
         let idle_long = self.idle_since.get().elapsed() > allowed;
         if is_short && idle_long && !self.is_answering.get() && may_close(reason) {
+            debug!("connection closed: it is idle, and {reason}");
             Decision::CloseGracefully
         } else {
             Decision::Continue
--- a/src/bin/proxy/downstream/first_head.rs
+++ b/src/bin/proxy/downstream/first_head.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
+use tracing::debug;
 
 /// Most bytes of a first request that are read before it has a slot: most heads are shorter.
 const MAX_FIRST_BYTES: usize = 1024;
@@ -69,6 +70,7 @@
             None => None,
         };
         let Some(slot) = slot else {
+            debug!("connection closed: {} bytes of its first request came in time", request.bytes.len());
             close(stream, idle_close).await;
             return None;
         };
--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -135,6 +135,7 @@
     /// Passes a request to the engine, unless its id may have run. Fails with the end of the request.
     fn admit(&self, request: ParsedRequest) -> Result<AdmittedRequest, RequestEnd> {
         if request.call.id_hash.is_some_and(|id| self.sent_ids.may_have_run(id)) {
+            request.call.trace.may_have_run();
             return Err(RequestEnd::MayHaveRun);
         }
         self.engine.admit(request).map_err(|NotAdmitted| RequestEnd::Rejected { retry_after: None })
--- a/src/bin/proxy/request_trace.rs
+++ b/src/bin/proxy/request_trace.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Logs that the request is not sent because its id may have run.
+    pub fn may_have_run(&self) {
+        self.log(format_args!("not sent: its id was sent before and may have run"));
+    }
+
     /// Logs the start of an attempt.
     pub fn attempt_started(&self, number: usize, address: SocketAddr) {
         self.log(format_args!("attempt {number} at {address} started"));
--- a/src/bin/proxy/startup/core_parts.rs
+++ b/src/bin/proxy/startup/core_parts.rs
@@ -14,6 +14,7 @@
 use load_balancer::interface::ListKind;
 use std::rc::Rc;
 use tokio::sync::watch;
+use tracing::debug;
 
 /// Returns whether calls are observed, for route reports or recordings.
 pub(super) fn is_observed(config: &Config) -> bool {
@@ -47,6 +48,7 @@
         let processes = watch::Sender::new(1);
         // Only a process with an ops address can be replaced while it serves.
         let memory = MemoryPlan::new(config.memory_bytes, config.ops.is_some(), usable_descriptors);
+        debug!("memory: {memory:?}");
         let for_backends = usable_descriptors / 2;
         // Another process that serves this address has as many connections to backends.
         let processes_planned = if config.ops.is_some() { 2 } else { 1 };
--- a/src/bin/proxy/upstream/response.rs
+++ b/src/bin/proxy/upstream/response.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
+use tracing::debug;
 
 /// Time after its first bytes at which an incomplete response without a length is passed on as a stream. With less
 /// time left than this, the attempt times out first.
@@ -45,6 +46,7 @@
         response.long_permit = Permit::acquire(&pool.long_responses, pool.limits.slow_connections());
         if response.long_permit.is_none() {
             // Any other backend would answer as long, and it has run.
+            debug!("response failed: as many long responses flow as connections are kept for them");
             return AttemptEnd::Failed(Outcome::Malformed);
         }
     }
