Refuse a request that waits for a slot, in its client's time

Cause: a request that waited for a slot ended only by getting one, and one in chunks could not be dropped, since it may have arrived whole unseen. Nothing of it was sent on, so that a 503 is a true refusal whether or not it is whole: a whole one is refused 25 ms before its client's time (its Req-Deadline-Ms, 3 s at most), an incomplete one after 250 ms while the connection limit is reached. The memory tests' good client has a deadline now and must have every final answer within half a second after it.

--- a/src/bin/proxy/downstream/first_head.rs
+++ b/src/bin/proxy/downstream/first_head.rs
@@ -9,6 +9,7 @@
 use super::lingering_close::LingeringClose;
 use super::slots::Slot;
 use crate::io::RequestHead;
+use crate::upstream::deadline_margin;
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
 use rustix::io::ioctl_fionread;
@@ -17,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::debug;
 
 /// Most bytes of a first request that are read before it has a slot: most heads are shorter.
@@ -26,6 +27,12 @@
 const WAITING_LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Least time in the system's buffer that counts as waiting.
 const LEAST_WAIT: Duration = Duration::from_millis(5);
+/// Longest time for which an incomplete request waits for a slot while the connection limit is reached.
+const INCOMPLETE_WAIT_AT_LIMIT: Duration = Duration::from_millis(250);
+/// Longest time for which a whole request waits for a slot.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+/// The answer to a request that has waited too long.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 /// The end of a body in chunks, with or without trailers.
 const CHUNKS_END: &[u8] = b"\r\n\r\n";
 
@@ -63,7 +70,7 @@
             biased;
             arrived_at = request.head_arrived() => arrived_at,
             () = sleep(FIRST_REQUEST_TIMEOUT) => None,
-            () = asked_to_close(idle_close, accepted_at) => None,
+            () = asked_to_close(idle_close, accepted_at, FIRST_REQUEST_TIMEOUT_AT_LIMIT) => None,
         };
         let slot = match arrived_at {
             Some(_) => self.acquire_slot(&mut request, idle_close).await,
@@ -78,8 +85,8 @@
         Some((FirstBytes { bytes: request.bytes, arrived_at }, slot))
     }
 
-    /// Takes a slot. One whose request has arrived whole does not wait behind those that are incomplete, of which one
-    /// that waits too long while connections are short gets none.
+    /// Takes a slot. One whose request has arrived whole does not wait behind those that are incomplete, and is refused in
+    /// its client's time. The others are refused if they wait too long while connections are short.
     async fn acquire_slot(
         &self,
         request: &mut FirstRequest<'_>,
@@ -91,10 +98,17 @@
                 biased;
                 slot = self.slots.acquire_for_incomplete() => return Some(slot),
                 () = request.whole() => {}
-                () = asked_to_close(idle_close, asked_at), if request.is_incomplete() => return None,
+                () = asked_to_close(idle_close, asked_at, INCOMPLETE_WAIT_AT_LIMIT) => {
+                    request.refuse();
+                    return None;
+                }
             }
         }
-        Some(self.slots.acquire().await)
+        let slot = timeout(request.longest_wait(), self.slots.acquire()).await;
+        if slot.is_err() {
+            request.refuse();
+        }
+        slot.ok()
     }
 }
 
@@ -140,6 +154,19 @@
         }
     }
 
+    /// Answers that the request is refused, which is harmless: none of it was sent on.
+    fn refuse(&self) {
+        // The client has left if it fails.
+        let _ = self.stream.try_write(REFUSAL);
+    }
+
+    /// Returns how long the request can wait for a slot, so that its client has an answer in time.
+    fn longest_wait(&self) -> Duration {
+        let client_timeout = self.head.client_timeout_ms.map(Duration::from_millis);
+        let client_timeout = client_timeout.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
+        client_timeout - deadline_margin(client_timeout)
+    }
+
     fn is_full(&self) -> bool {
         self.bytes.len() >= MAX_FIRST_BYTES
     }
@@ -157,12 +184,6 @@
         }
     }
 
-    /// Returns whether the request has surely not arrived whole.
-    fn is_incomplete(&self) -> bool {
-        let has_unread = ioctl_fionread(self.stream).is_ok_and(|unread| unread > 0);
-        !self.is_whole() && (self.head.is_complete && !self.head.has_encoding || !has_unread)
-    }
-
     /// Waits until the request has arrived whole, as far as that is seen.
     async fn whole(&mut self) {
         while !self.is_whole() {
@@ -173,10 +194,14 @@
 }
 
 /// Waits until connections are short and this one has waited for too long.
-async fn asked_to_close(idle_close: &mut watch::Receiver<IdleCloseReason>, waits_since: Instant) {
+async fn asked_to_close(
+    idle_close: &mut watch::Receiver<IdleCloseReason>,
+    waits_since: Instant,
+    longest: Duration,
+) {
     while idle_close.changed().await.is_ok() {
         let is_short = *idle_close.borrow_and_update() == IdleCloseReason::LimitReached;
-        if is_short && waits_since.elapsed() > FIRST_REQUEST_TIMEOUT_AT_LIMIT {
+        if is_short && waits_since.elapsed() > longest {
             return;
         }
     }
--- a/src/bin/proxy/io/request_head.rs
+++ b/src/bin/proxy/io/request_head.rs
@@ -16,6 +16,8 @@
     has_begun: bool,
     /// Whether the head has a `Content-Length`.
     pub has_length: bool,
+    /// The time for which the client waits, in milliseconds, if it can be read.
+    pub client_timeout_ms: Option<u64>,
     /// The length that the head announces, if it can be read.
     pub content_length: Option<u64>,
     /// Whether the head has a `Transfer-Encoding`.
@@ -40,10 +42,18 @@
         0
     }
 
+    fn number_after(&self, name: &[u8]) -> Option<u64> {
+        let value = self.line.strip_prefix(name)?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    }
+
     fn end_line(&mut self) {
-        if let Some(value) = self.line.strip_prefix(b"content-length:") {
+        if self.line.starts_with(b"content-length:") {
             self.has_length = true;
-            self.content_length = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
+            self.content_length = self.number_after(b"content-length:");
+        }
+        if self.line.starts_with(b"req-deadline-ms:") {
+            self.client_timeout_ms = self.number_after(b"req-deadline-ms:");
         }
         self.has_encoding |= self.line.starts_with(b"transfer-encoding:");
         let is_empty = self.line.is_empty() || self.line == b"\r";
--- a/tests/slow_peers/memory.rs
+++ b/tests/slow_peers/memory.rs
@@ -3,6 +3,7 @@
 use crate::backend::start_backends_and_discovery;
 use crate::peers::{ALL, Peer};
 use crate::rig::*;
+use http_body_util::Full;
 use rstest::rstest;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -19,8 +20,9 @@
 /// Time for which the peers are at work.
 const CROWD_TIME: Duration = Duration::from_secs(4);
 const CALL_EVERY: Duration = Duration::from_millis(100);
-/// Time for which the good client waits for an answer.
-const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which the good client waits for an answer, and time after that by which it must have one.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
 
 /// Held by the test that runs its crowd.
 static CROWD: Mutex<()> = Mutex::const_new(());
@@ -39,13 +41,17 @@
     (0..PEERS).map(|n| kinds[n % kinds.len()].run(proxy)).collect()
 }
 
-/// Calls as a good client does, a connection a call, and returns how many calls were served of how many.
+/// Calls as a good client does, a connection a call. Returns how many calls were served of how many; each has its final
+/// answer in time.
 async fn call_for(proxy: &ProxyProcess, time: Duration) -> (usize, usize) {
     let (started, mut served, mut calls) = (Instant::now(), 0, 0);
     while started.elapsed() < time {
         calls += 1;
-        let answer = timeout(CALL_TIMEOUT, proxy.call("look")).await;
-        served += usize::from(answer.is_ok_and(|(status, _)| status == 200));
+        let mut call = request("look").body(Full::default()).expect("valid request");
+        call.headers_mut().insert("req-deadline-ms", (CLIENT_TIMEOUT.as_millis() as u64).into());
+        let answer = async { proxy.connect_client().await.send(call).await.0 };
+        let status = timeout(CLIENT_TIMEOUT + ANSWER_GRACE, answer).await.expect("an answer in time");
+        served += usize::from(status == 200);
         sleep(CALL_EVERY).await;
     }
     (served, calls)
