--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -256,17 +256,28 @@
 
     /// Reads a message. `None` if the peer has closed before its first byte.
     pub fn read(&mut self, is_response: bool) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head()? else { return Ok(None) };
+        self.read_body(&mut message, is_response)?;
+        Ok(Some(message))
+    }
+
+    /// Reads the head of a message.
+    pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let mut message = Message::default();
         let Some(first) = self.read_line()? else { return Ok(None) };
         message.first = first;
         loop {
             let line = self.read_line()?.ok_or(io::ErrorKind::UnexpectedEof)?;
             if line.is_empty() {
-                break;
+                return Ok(Some(message));
             }
             let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
             message.headers.insert(name.trim().to_ascii_lowercase(), value.trim().to_string());
         }
+    }
+
+    /// Reads the body of a message whose head was read.
+    pub fn read_body(&mut self, message: &mut Message, is_response: bool) -> io::Result<()> {
         let chunked = message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
         let length = message.header("content-length").and_then(|v| v.parse::<usize>().ok());
         if chunked {
@@ -279,16 +290,17 @@
                 message.body.extend_from_slice(&piece);
                 self.read_line()?;
                 if size == 0 {
-                    break;
+                    return Ok(());
                 }
             }
-        } else if let Some(length) = length {
+        }
+        if let Some(length) = length {
             message.body = vec![0; length];
             self.reader.read_exact(&mut message.body)?;
         } else if is_response {
             self.reader.read_to_end(&mut message.body)?;
         }
-        Ok(Some(message))
+        Ok(())
     }
 
     fn read_line(&mut self) -> io::Result<Option<String>> {
