Let the review's stand-ins signal no process that has ended

Need: without its disruption case 8 sent SIGTERM to an id whose process had been waited for (kill said: no such process). Change: review/standins-2/rig.rs looks before it signals.

--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -150,7 +150,6 @@
         Process { name: name.to_string(), child, log, record: case.record.clone() }
     }
 
-    /// Starts `command` with the arguments, after `exec`.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
@@ -164,8 +163,11 @@
         wait_until(limit_ms, || self.has_logged(text))
     }
 
-    /// Sends a signal, such as `TERM`.
+    /// Sends a signal, such as `TERM`, unless the process has been waited for: its id may be another's by then.
     pub fn signal(&self, signal: &str) {
+        if !RUNNING.lock().unwrap().contains(&self.id()) {
+            return;
+        }
         self.record.line(&format!("{}: SIG{signal}", self.name));
         let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{signal} {}", self.id())]).status();
     }
