--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -32,11 +32,11 @@
 impl Case {
     pub fn from_env() -> Case {
         let var = |name: &str| std::env::var(name).unwrap_or_else(|_| die(&format!("{name} is not set")));
-        let case_dir = PathBuf::from(var("CASE_DIR"));
+        let (root, tmp) = (var("ROOT"), var("TMP_DIR"));
         let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
-        let record = Record::create(&case_dir.join("record.txt"));
+        let record = Record::create(Path::new(&var("RECORD")), [(tmp.clone(), "TMP"), (root.clone(), "ROOT")]);
         record.line(&format!("trouble: {}", if trouble { "played" } else { "left out (TROUBLE=0)" }));
-        Case { root: PathBuf::from(var("ROOT")), tmp: PathBuf::from(var("TMP_DIR")), trouble, record }
+        Case { root: root.into(), tmp: tmp.into(), trouble, record }
     }
 
     /// Ends the case with its verdict.
@@ -78,22 +78,30 @@
 
 /// The file that says what was sent, answered and run, with the milliseconds since the start.
 #[derive(Clone)]
-pub struct Record(Arc<(Instant, Mutex<File>)>);
+pub struct Record(Arc<RecordFile>);
+
+struct RecordFile {
+    began: Instant,
+    file: Mutex<File>,
+    /// Paths of this machine, and the names that the record has for them.
+    names: [(String, &'static str); 2],
+}
 
 impl Record {
-    fn create(path: &Path) -> Record {
+    fn create(path: &Path, names: [(String, &'static str); 2]) -> Record {
         let file = File::create(path).unwrap_or_else(|e| die(&format!("record.txt: {e}")));
-        Record(Arc::new((Instant::now(), Mutex::new(file))))
+        Record(Arc::new(RecordFile { began: Instant::now(), file: Mutex::new(file), names }))
     }
 
     pub fn line(&self, text: &str) {
-        let ms = self.0.0.elapsed().as_secs_f64() * 1000.0;
-        let mut file = self.0.1.lock().unwrap();
+        let ms = self.ms();
+        let text = self.0.names.iter().fold(text.to_string(), |text, (path, name)| text.replace(path, name));
+        let mut file = self.0.file.lock().unwrap();
         let _ = writeln!(file, "{ms:10.1} {text}");
     }
 
     pub fn ms(&self) -> f64 {
-        self.0.0.elapsed().as_secs_f64() * 1000.0
+        self.0.began.elapsed().as_secs_f64() * 1000.0
     }
 }
 
@@ -131,6 +139,7 @@
             .env_remove("RELAY_DISCOVERY")
             .env_remove("RELAY_CONFIG")
             .env("TMPDIR", &case.tmp)
+            .env("NO_COLOR", "1")
             .envs(env.iter().map(|(k, v)| (*k, v.as_str())))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the stand-ins of one case: run-case.sh FOLDER. Sourced by nothing; each review/N/run.sh calls it.
+# Runs the stand-ins of one case: run-case.sh FOLDER RECORD. Each review/N/run.sh calls it; the stand-ins write RECORD.
 set -u
 case_dir=$(cd "$1" && pwd)
 root=$(cd "$case_dir/../.." && pwd)
@@ -12,6 +12,6 @@
 done
 tmp=$(mktemp -d)
 trap 'rm -rf "$tmp"' EXIT
-ROOT="$root" CASE_DIR="$case_dir" TMP_DIR="$tmp" TROUBLE="${TROUBLE:-1}" timeout -k 5 110 "$program"
+ROOT="$root" RECORD="$2" TMP_DIR="$tmp" TROUBLE="${TROUBLE:-1}" timeout -k 5 110 "$program"
 code=$?
 case "$code" in 0 | 1 | 2) exit "$code" ;; *) echo "COULD NOT RUN: the stand-ins ended with $code"; exit 2 ;; esac
