Let an ended attempt take nothing more of a body that the next attempt sends

Cause: both attempts took their pieces from one shared body. An attempt that was turned away early ended without abandoning its connection, where the HTTP library went on writing; a piece that came while the next attempt was connecting went there.

Change: a body is taken through a claim alone (body/claim.rs). One attempt has it at a time; it ends before the attempt's end is reported, and what the connection holds of it then gives neither a piece nor an end. A request of which a piece is gone cannot be claimed again; one of which only the end was read can. A connection closes with its Link, so that one with a half-written request cannot return to the pool. The receiving half of remaining.rs has a file of its own.

Evidence: tests/bodies/ended_attempts.rs on real sockets, four framings by five ends, with the next connect held up until a piece has arrived, and eight cases of pieces that are gone.

--- a/src/bin/proxy/body/mod.rs
+++ b/src/bin/proxy/body/mod.rs
@@ -3,7 +3,8 @@
 //! - [`buffer_budget`] bounds the memory of all buffered bodies together.
 //! - [`rate_floor`] reads a body and fails it when its sender is too slow.
 //! - [`receive_progress`] tells whether the sender of a request's body is slow.
-//! - [`remaining`] streams the unbuffered part of a request's body to the one attempt that can send it.
+//! - [`remaining`] holds the unbuffered part of a request's body; [`receive`] receives it from the client.
+//! - [`claim`] is the right to take that part, which one attempt has at a time.
 //! - [`turn`] lets other connections have their turn between the pieces of a body.
 //! - [`state`] is the state of that part, from its arrival to its end.
 //! - [`arrival`] tells when a body's bytes arrived, although nothing may have read them.
@@ -14,14 +15,17 @@
 
 mod arrival;
 mod buffer_budget;
+mod claim;
 mod rate_floor;
 mod read_ahead;
+mod receive;
 mod receive_progress;
 mod remaining;
 mod state;
 mod turn;
 
 pub use buffer_budget::{BufferBudget, BufferReservation};
+pub use claim::{BodyClaim, ClaimedBody};
 pub use rate_floor::{Lateness, RateLimitedBody, append};
 pub use receive_progress::ReceiveProgress;
 pub use remaining::RemainingBody;
--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -24,6 +24,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
 /// Time without progress after which a write fails.
@@ -45,6 +46,7 @@
     /// Whether the last byte of the request has been written.
     is_flushed: Cell<bool>,
     is_abandoned: Cell<bool>,
+    abandoned: Notify,
     /// Number of requests that were written completely on all connections that share this count.
     completed_requests: Rc<Cell<u64>>,
     /// The head that is being read, or the last one that was read.
@@ -94,6 +96,17 @@
     /// request stays incomplete.
     pub fn abandon(&self) {
         self.is_abandoned.set(true);
+        self.abandoned.notify_one();
+    }
+    /// Waits until writing was abandoned. Only the task of the connection may wait.
+    pub async fn abandoned(&self) {
+        while !self.is_abandoned() {
+            self.abandoned.notified().await;
+        }
+    }
+    /// Returns whether the HTTP library has taken the whole request.
+    pub fn is_taken(&self) -> bool {
+        self.body_taken.get()
     }
     /// Returns whether writing was abandoned.
     pub fn is_abandoned(&self) -> bool {
--- a/src/bin/proxy/io/outgoing.rs
+++ b/src/bin/proxy/io/outgoing.rs
@@ -1,34 +1,35 @@
 //! The body of a request as it is written to a backend: first the buffered part, then the streamed one.
 
 use super::Progress;
-use crate::body::RemainingBody;
+use crate::body::ClaimedBody;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 /// A request's body, which records in the connection's [`Progress`] when the HTTP library has taken the last chunk.
 pub struct Outgoing {
     /// The buffered part that has not been taken yet.
     buffered: Bytes,
-    remaining: Option<Rc<RemainingBody>>,
+    streamed: Option<ClaimedBody>,
     progress: Rc<Progress>,
 }
 
 impl Outgoing {
     /// Creates the body of the next request on the connection, and resets the connection's write progress.
-    pub fn new(buffered: Bytes, remaining: Option<Rc<RemainingBody>>, progress: Rc<Progress>) -> Self {
+    pub fn new(buffered: Bytes, streamed: Option<ClaimedBody>, progress: Rc<Progress>) -> Self {
         progress.begin();
+        let body = Outgoing { buffered, streamed, progress };
         // The HTTP library does not poll an empty body.
-        progress.body_taken.set(buffered.is_empty() && remaining.is_none());
-        Outgoing { buffered, remaining, progress }
+        body.progress.body_taken.set(body.is_taken());
+        body
     }
 
     /// Returns whether the HTTP library has taken the whole body.
     fn is_taken(&self) -> bool {
-        self.buffered.is_empty() && self.remaining.as_ref().is_none_or(|remaining| remaining.is_taken())
+        self.buffered.is_empty() && self.streamed.as_ref().is_none_or(ClaimedBody::is_taken)
     }
 }
 
@@ -37,18 +38,17 @@
     type Error = io::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        // The next attempt may already send the streamed part.
         if self.progress.is_abandoned() {
             return Poll::Ready(Some(Err(io::ErrorKind::ConnectionAborted.into())));
         }
+        if self.streamed.as_ref().is_some_and(ClaimedBody::is_revoked) {
+            return Poll::Pending;
+        }
         let buffered = std::mem::take(&mut self.buffered);
-        let next = match &self.remaining {
+        let next = match &mut self.streamed {
             _ if !buffered.is_empty() => Ok(Some(buffered)),
             None => Ok(None),
-            Some(remaining) => match remaining.poll_next(cx) {
-                Poll::Ready(next) => next,
-                Poll::Pending => return Poll::Pending,
-            },
+            Some(streamed) => ready!(streamed.poll_next(cx)),
         };
         if self.is_taken() {
             self.progress.body_taken.set(true);
@@ -62,9 +62,9 @@
 
     fn size_hint(&self) -> SizeHint {
         let buffered = self.buffered.len() as u64;
-        match self.remaining.as_ref().map(|remaining| remaining.length()) {
+        match self.streamed.as_ref().map(ClaimedBody::length) {
             None => SizeHint::with_exact(buffered),
-            Some(Some(remaining)) => SizeHint::with_exact(buffered + remaining),
+            Some(Some(streamed)) => SizeHint::with_exact(buffered + streamed),
             Some(None) => SizeHint::default(),
         }
     }
--- a/src/bin/proxy/upstream/attempt.rs
+++ b/src/bin/proxy/upstream/attempt.rs
@@ -1,14 +1,17 @@
 //! One attempt at one backend: the phases `connect`, `forward` and `await_response`.
 //!
 //! Runs from the balancer's selection of an endpoint until the attempt's end is reported, which happens exactly
-//! once. Owns the attempt's connection meanwhile; a reusable connection returns to the pool.
+//! once. Owns the attempt's connection meanwhile, and what it may take of the request's body ([`BodyAccess`]), which ends
+//! before the end is reported. A reusable connection returns to the pool; any other closes when its [`Link`] is dropped.
 
 use super::pool::{Link, Permit, Pool};
 use super::response::read_response;
 use super::{AttemptEnd, Target, UpstreamRequest};
+use crate::body::{BodyClaim, ClaimedBody};
 use hyper::Response;
 use hyper::body::Incoming;
 use load_balancer::interface::Outcome;
+use std::cell::Cell;
 use std::future::{Future, pending};
 use std::pin::pin;
 use std::rc::Rc;
@@ -37,6 +40,44 @@
     pub cancelled: oneshot::Receiver<()>,
 }
 
+/// The streamed part of a request's body for one attempt, if it has such a part.
+#[derive(Clone, Default)]
+struct BodyAccess(Rc<Cell<Option<BodyClaim>>>);
+
+impl BodyAccess {
+    /// Claims the body. Returns `None` if another attempt has it, or has taken a part of it.
+    fn claim(call: &UpstreamRequest) -> Option<Self> {
+        let Some(body) = &call.remaining_body else { return Some(BodyAccess::default()) };
+        Some(BodyAccess(Rc::new(Cell::new(Some(body.claim()?)))))
+    }
+
+    /// Returns the streamed part for the connection that writes it.
+    fn streamed(&self) -> Option<ClaimedBody> {
+        let claim = self.0.take();
+        let streamed = claim.as_ref().map(BodyClaim::body);
+        self.0.set(claim);
+        streamed
+    }
+
+    /// Ends the access: what the attempt has not taken is left for the next one.
+    fn end(&self) {
+        self.0.take();
+    }
+}
+
+/// The report of an attempt's end, which ends its access to the body first.
+struct Report<R> {
+    body: BodyAccess,
+    report: R,
+}
+
+impl<R: FnOnce(AttemptEnd)> Report<R> {
+    fn send(self, end: AttemptEnd) {
+        self.body.end();
+        (self.report)(end);
+    }
+}
+
 impl Attempt {
     /// Runs the attempt and reports its end exactly once.
     pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(AttemptEnd)) {
@@ -54,19 +95,21 @@
             Ok(_) if begin_by.is_some_and(|by| Instant::now() >= by) => Err(Outcome::NotSent),
             link => link,
         };
-        let (link, _incomplete_permit) = match link {
+        let connected = link.and_then(|link| Ok((link, BodyAccess::claim(&call).ok_or(Outcome::NotSent)?)));
+        let ((link, _incomplete_permit), body) = match connected {
             Ok(connected) => connected,
             Err(outcome) => return report(AttemptEnd::Failed(outcome)),
         };
+        let report = Report { body: body.clone(), report };
         let progress = link.progress.clone();
-        let mut exchange = pin!(exchange(link, &pool, &call, &target, deadline));
+        let mut exchange = pin!(exchange(link, &pool, &call, &target, &body, deadline));
         let outcome = tokio::select! {
             biased;
             end = &mut exchange => {
                 if end.outcome().never_ran() {
                     call.undo_run(&pool.sent_ids);
                 }
-                return report(end);
+                return report.send(end);
             }
             outcome = &mut cancel_or_timeout => outcome,
         };
@@ -75,7 +118,7 @@
             progress.abandon();
             call.undo_run(&pool.sent_ids);
         }
-        report(end_without_response(&call, outcome));
+        report.send(end_without_response(&call, outcome));
         if written && pool.limits.may_duplicate {
             drain_superseded(&pool, exchange).await;
         }
@@ -160,19 +203,21 @@
     pool: &Rc<Pool>,
     call: &UpstreamRequest,
     target: &Rc<Target>,
+    body: &BodyAccess,
     deadline: Instant,
 ) -> AttemptEnd {
     if !call.begin_run(&pool.sent_ids) {
         return AttemptEnd::Failed(Outcome::Malformed);
     }
-    let response = match forward(&mut link, call, target, deadline).await {
+    let response = match forward(&mut link, call, target, body, deadline).await {
         Ok(response) => response,
         Err(outcome) => return AttemptEnd::Failed(outcome),
     };
-    let end = await_response(response, &link, pool, call).await;
-    match end {
+    match await_response(response, &link, pool, call, body).await {
         Ok(end) => {
-            if end.outcome() != Outcome::Reset {
+            // The HTTP library writes what it has taken of a request that was turned away; less than all of it would
+            // leave the connection in the middle of a request.
+            if end.outcome() != Outcome::Reset && link.progress.is_taken() {
                 return_to_pool(link, pool, target);
             }
             end
@@ -186,10 +231,11 @@
     link: &mut Link,
     call: &UpstreamRequest,
     target: &Target,
+    body: &BodyAccess,
     deadline: Instant,
 ) -> Result<Response<Incoming>, Outcome> {
     let timeout_ms = call.backend_timeout_ms(deadline);
-    let request = call.to_http(&link.progress, timeout_ms).ok_or(Outcome::NotSent)?;
+    let request = call.to_http(body.streamed(), &link.progress, timeout_ms).ok_or(Outcome::NotSent)?;
     call.trace.forwarded(target.address, timeout_ms);
     match link.sender.send_request(request).await {
         Ok(response) => Ok(response),
@@ -204,14 +250,19 @@
 /// not be reused.
 ///
 /// A response that arrives before the request is written completely is invalid, since a backend begins its work
-/// with the last byte; only a rejection may come earlier. The rest of the request is then never written.
+/// with the last byte; only a rejection may come earlier. No more of the body is taken then, so that the request can be
+/// sent to another backend if nothing of it is gone.
 async fn await_response(
     response: Response<Incoming>,
     link: &Link,
     pool: &Rc<Pool>,
     call: &UpstreamRequest,
+    body: &BodyAccess,
 ) -> Result<AttemptEnd, Outcome> {
     let early = !link.progress.is_written();
+    if early {
+        body.end();
+    }
     let end = read_response(response, pool, call.client_deadline()).await;
     if !early || end.outcome() == Outcome::Rejected {
         return Ok(end);
--- a/src/bin/proxy/upstream/pool.rs
+++ b/src/bin/proxy/upstream/pool.rs
@@ -70,12 +70,19 @@
     idle_since: Instant,
 }
 
-/// An HTTP connection to a backend, which carries one request at a time.
+/// An HTTP connection to a backend, which carries one request at a time. It closes when this is dropped, wherever its
+/// request or response stands.
 pub(super) struct Link {
     pub(super) sender: SendRequest<Outgoing>,
     pub(super) progress: Rc<Progress>,
 }
 
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.progress.abandon();
+    }
+}
+
 /// A permit out of a limited number, released when dropped.
 pub struct Permit(Rc<Cell<usize>>);
 
@@ -204,12 +211,16 @@
             .handshake(watched)
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
+        let link = Link { sender, progress: progress.clone() };
         tokio::task::spawn_local(async move {
             let _permit = permit;
-            // The sender sees the end of the connection and handles it.
-            let _ = connection.await;
+            tokio::select! {
+                // The sender sees the end of the connection and handles it.
+                _ = connection => {}
+                () = progress.abandoned() => {}
+            }
         });
-        Ok(Link { sender, progress })
+        Ok(link)
     }
 }
 
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -1,9 +1,9 @@
 //! A client's request as it is sent to backends.
 //!
 //! Created once when the request is read, and shared by all its attempts. Owns the buffered body; the rest is streamed
-//! through [`RemainingBody`] to one attempt only.
+//! through [`RemainingBody`] to one attempt at a time.
 
-use crate::body::{BodyState, BufferReservation, RemainingBody};
+use crate::body::{BodyState, BufferReservation, ClaimedBody, RemainingBody};
 use crate::io::{Client, Outgoing, Progress};
 use crate::request_trace::RequestTrace;
 use crate::sent_ids::{IdHash, SentIds};
@@ -140,9 +140,14 @@
         }
     }
 
-    /// Builds the HTTP request for one attempt, whose body reports to `progress` how far it was written. Returns
-    /// `None` if the request is invalid.
-    pub(super) fn to_http(&self, progress: &Rc<Progress>, timeout_ms: u64) -> Option<Request<Outgoing>> {
+    /// Builds the HTTP request for one attempt, whose body ends with `streamed` and reports to `progress` how far it was
+    /// written. Returns `None` if the request is invalid.
+    pub(super) fn to_http(
+        &self,
+        streamed: Option<ClaimedBody>,
+        progress: &Rc<Progress>,
+        timeout_ms: u64,
+    ) -> Option<Request<Outgoing>> {
         let mut request = Request::builder().method(self.method.clone()).uri(self.uri.clone());
         let headers = request.headers_mut()?;
         headers.insert(HOST, self.host.clone().unwrap_or(HeaderValue::from_static(DEFAULT_HOST)));
@@ -154,8 +159,6 @@
         if self.buffered_body.is_empty() && self.remaining_body.is_none() && self.method != Method::GET {
             headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
         }
-        request
-            .body(Outgoing::new(self.buffered_body.clone(), self.remaining_body.clone(), progress.clone()))
-            .ok()
+        request.body(Outgoing::new(self.buffered_body.clone(), streamed, progress.clone())).ok()
     }
 }
--- a/tests/bodies/main.rs
+++ b/tests/bodies/main.rs
@@ -1,5 +1,6 @@
 //! Request and response bodies of any size, sent through a running proxy process.
 
+mod ended_attempts;
 mod framing;
 mod long_bodies;
 #[path = "../rig/mod.rs"]
