Send a request only while a connection is left for it and its whole response

Cause: the limit was looked at when the response had come, not before the request was sent. The decision module counted an attempt as over once its response began to flow, and knew nothing of the connections that such responses hold.

Change: each attempt reserves a connection (upstream/reservation.rs); a response that flows on, or a superseded one that is awaited, keeps the reservation to its end. The decision module is told how many are left (balancer/connections.rs) and sends nothing beyond them: a request waits in its slice's queue, in the order of priority, or is shed there. In a full queue a request takes the place of a lower slice's latest. While long responses hold half of the connections, up to a fourth is left for higher slices. The limit of 60 in 100 stands for requests that their clients have not sent whole alone. At the connection limit an attempt waits, 0.1 s at the most, for the idle connection that is closed for it, where it was turned back before. counters has refused_no_slot, refused_no_memory and refused_no_descriptor.

The unit test of the counters' page has the three new keys; those of the pool follow the new signature.

--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -6,7 +6,8 @@
 //! slice's queue.
 //!
 //! A request that is not sent at once is shed
-//! - on arrival, if the queues are as long as the limit (unless it waits for its key), or if its deadline is
+//! - on arrival, if the queues are as long as the limit (unless it waits for its key, or for a connection and
+//!   a lower slice gives up a place; `connections`), or if its deadline is
 //!   at most two ticks of the balancer away (one of a class that the settings lack is failed);
 //! - on a tick, once its queue deadline has passed: an eighth of the shortest latency objective at the tier
 //!   that clients reach, a half at the tiers behind it; if it waits for an endpoint or for its key, the
@@ -37,10 +38,10 @@
 
 /// A priority level's share of the concurrency limit, and its queue.
 #[derive(Default)]
-struct Slice {
+pub(super) struct Slice {
     share_of_limit: f64,
     in_flight: f64,
-    queue: VecDeque<RequestId>,
+    pub(super) queue: VecDeque<RequestId>,
 }
 
 /// Indices of the slices that a class's requests belong to.
@@ -52,7 +53,7 @@
 /// State of admission control: the slices and the calls in flight over all of them.
 pub(super) struct Admission {
     /// Slices in descending order of priority.
-    slices: Vec<Slice>,
+    pub(super) slices: Vec<Slice>,
     /// Slice indices by class.
     class_slices: Vec<ClassSlices>,
     /// Longest time (ms) in a slice's queue. All classes share one value: with separate ones, the class with
@@ -148,8 +149,9 @@
         let key = if in_order { arrival.key } else { 0 };
         let waits_for_key = self.join_key_queue(key, id);
         let admitted = !waits_for_key && self.admission.slices[slice].queue.is_empty() && self.admits(slice);
+        let has_connection = self.has_connection(slice);
         // Without an endpoint, or behind its key, a request waits while an answer can still be in time.
-        let queue_ms = if admitted || waits_for_key {
+        let queue_ms = if admitted && has_connection || waits_for_key {
             latency_objective_ms - self.concurrency_limit.mean_ms
         } else {
             self.admission.queue_ms
@@ -161,60 +163,26 @@
         }
         self.concurrency_limit.note_reached(!admitted && !waits_for_key);
         let queues_full = self.admission.queued() as f64 >= self.concurrency_limit.limit;
-        if !waits_for_key && queues_full || latest_ms <= now_ms {
+        let is_late = latest_ms <= now_ms;
+        let lacks_place = !waits_for_key && queues_full;
+        if is_late || lacks_place && (has_connection || !self.shed_lower(now_ms, slice, out)) {
             self.reject_or_fail(now_ms, id, out);
         } else if !waits_for_key {
             self.admission.enqueue(slice, id);
         }
     }
 
-    fn admits(&self, slice: usize) -> bool {
+    pub(super) fn admits(&self, slice: usize) -> bool {
         self.admission.admits(slice, self.concurrency_limit.limit)
     }
 
-    /// Sends the queued requests that are now admitted, in descending order of priority.
-    pub(super) fn send_queued(&mut self, now_ms: f64, out: &mut Vec<Action>) {
-        for slice in 0..self.admission.slices.len() {
-            for _ in 0..self.admission.slices[slice].queue.len() {
-                if !self.admits(slice) {
-                    break;
-                }
-                let Some(&id) = self.admission.slices[slice].queue.front() else { break };
-                if self.requests.contains_key(&id) && !self.send(now_ms, id, out) {
-                    break;
-                }
-                self.admission.slices[slice].queue.pop_front();
-            }
-        }
-    }
-
-    /// Sweeps all queues on a tick: sheds the requests whose queue deadline has passed, and sends those that
-    /// are admitted and for which an endpoint is available.
-    pub(super) fn sweep_queues(&mut self, now_ms: f64, out: &mut Vec<Action>) {
-        for slice in 0..self.admission.slices.len() {
-            for _ in 0..self.admission.slices[slice].queue.len() {
-                let admitted = self.admits(slice);
-                let Some(&id) = self.admission.slices[slice].queue.front() else { break };
-                let queue_deadline_ms = self.requests.get(&id).map(|r| r.queue_deadline_ms);
-                let overdue = queue_deadline_ms.is_some_and(|deadline_ms| now_ms >= deadline_ms);
-                if overdue {
-                    self.reject_or_fail(now_ms, id, out);
-                }
-                if overdue || queue_deadline_ms.is_none() || admitted && self.send(now_ms, id, out) {
-                    self.admission.slices[slice].queue.pop_front();
-                } else {
-                    self.admission.slices[slice].queue.rotate_left(1);
-                }
-            }
-        }
-    }
-
     /// Gives up a request: rejects it, with a Retry-After, where a client retry is harmless, and fails it
     /// otherwise.
     ///
     /// Guards against synchronized client retries: the Retry-After (ms) is drawn between one and two eighths
     /// of the class's latency objective, and is at most what clients heed; 0 where the settings disable it.
     pub(super) fn reject_or_fail(&mut self, now_ms: f64, id: RequestId, out: &mut Vec<Action>) {
+        self.count_shed(id);
         let Some(request) = self.requests.get(&id) else { return };
         if self.client_may_retry(now_ms, request) {
             let shortest_ms = self.settings.classes[request.class].latency_objective_ms * RETRY_AFTER_SHARE;
--- a/src/balancer/interface/event.rs
+++ b/src/balancer/interface/event.rs
@@ -30,6 +30,8 @@
         /// Id of the request.
         request: RequestId,
     },
+    /// Connections to backends became free after the end of the attempts that took them.
+    ConnectionsFreed,
     /// The number of processes changed that share this instance's budgets while one replaces another; each of
     /// them has its own balancer.
     LocalProcesses {
--- a/src/balancer/interface/mod.rs
+++ b/src/balancer/interface/mod.rs
@@ -5,6 +5,7 @@
 mod action;
 mod attempt;
 mod census;
+mod connection_use;
 mod event;
 mod list;
 mod settings;
@@ -14,6 +15,7 @@
 pub use action::Action;
 pub use attempt::{Arrival, Outcome, Resolved};
 pub use census::{Census, TrafficShare};
+pub use connection_use::ConnectionUse;
 pub use event::Event;
 pub use list::{Entry, ListKind, Phase};
 pub use settings::{Caps, Class, DedupScope, Goal, Idempotency, ListGuard, Rules, Settings, Tenant};
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod class_latency;
 mod concurrency_limit;
+mod connections;
 mod endpoint_set;
 mod endpoints;
 mod fleet_share;
@@ -18,6 +19,7 @@
 mod outlier_detection;
 pub mod platform_settings;
 mod priority;
+mod queues;
 mod request;
 mod retry;
 mod selection;
@@ -31,6 +33,7 @@
 
 use self::admission::Admission;
 use self::concurrency_limit::ConcurrencyLimit;
+use self::connections::Connections;
 use self::endpoint_set::EndpointSet;
 use self::endpoints::Endpoints;
 use self::fleet_share::FleetShare;
@@ -62,6 +65,7 @@
     /// Queues of the open requests of ordered classes, by key.
     key_queues: BTreeMap<u64, KeyQueue>,
     concurrency_limit: ConcurrencyLimit,
+    connections: Connections,
     retry_budget: RetryBudget,
     endpoints: Endpoints,
     endpoint_set: EndpointSet,
@@ -90,6 +94,7 @@
             tenant_buckets: settings.tenants.iter().map(|_| TokenBucket::full()).collect(),
             key_queues: BTreeMap::new(),
             concurrency_limit: ConcurrencyLimit::new(&settings),
+            connections: Connections::default(),
             retry_budget: RetryBudget::new(),
             endpoints: Endpoints::default(),
             endpoint_set: EndpointSet::new(prefers_local.then_some(settings.zone)),
@@ -123,6 +128,8 @@
             Event::Peers { alive, known, rank } => self.on_peers(now_ms, alive, known, rank),
             Event::RouteWeights { weights } => self.on_route_weights(now_ms, weights),
             Event::ClientGone { request } => self.end_request(now_ms, request, out),
+            // Queued requests are sent after every event.
+            Event::ConnectionsFreed => {}
             Event::TimerFired { token } => self.on_timer(now_ms, token, out),
         }
         self.send_queued(now_ms, out);
--- a/src/balancer/request.rs
+++ b/src/balancer/request.rs
@@ -73,13 +73,17 @@
 }
 
 impl Balancer {
-    /// Sends the next attempt of a request and returns whether an endpoint could take it.
+    /// Sends the next attempt of a request and returns whether a connection and an endpoint could take it.
     pub(super) fn send(&mut self, now_ms: f64, id: RequestId, out: &mut Vec<Action>) -> bool {
+        if !self.requests.get(&id).is_some_and(|request| self.has_connection(request.slice)) {
+            return false;
+        }
         let Some(backend) = self.select(now_ms, id) else { return false };
         self.take_fair_turn(backend);
         let Some(request) = self.requests.get_mut(&id) else { return false };
         let Some(endpoint) = self.endpoints.get_mut(&backend) else { return false };
         endpoint.warm_up_tokens -= 1.0;
+        self.connections.take();
         request.attempts.push(Attempt {
             backend,
             zone: endpoint.entry.zone,
--- a/src/bin/proxy/counters.rs
+++ b/src/bin/proxy/counters.rs
@@ -4,6 +4,7 @@
 //! was written completely. Owns the counters of this process. Operators' scripts read their JSON keys, which must
 //! not change.
 
+use crate::refusals::{Refusals, Shortage};
 use load_balancer::client::route_table::RequestTotals;
 use load_balancer::interface::Census;
 use serde_json::{Map, Value, json};
@@ -47,13 +48,20 @@
     ended: RefCell<Vec<EndedCounts>>,
     in_flight: Cell<u64>,
     attempts: Rc<Cell<u64>>,
+    refusals: Rc<Refusals>,
 }
 
 impl Counters {
     /// Creates counters for these classes, all at 0.
     pub fn new(classes: Vec<String>) -> Rc<Self> {
         let ended = RefCell::new(vec![EndedCounts::default(); classes.len()]);
-        Rc::new(Counters { classes, ended, in_flight: Cell::default(), attempts: Rc::default() })
+        Rc::new(Counters {
+            classes,
+            ended,
+            in_flight: Cell::default(),
+            attempts: Rc::default(),
+            refusals: Rc::default(),
+        })
     }
 
     /// Returns the shared counter of completely written attempts, which the backend connections increment.
@@ -61,6 +69,11 @@
         self.attempts.clone()
     }
 
+    /// Returns the shared counters of requests that are refused because the process lacks something.
+    pub fn refusals(&self) -> Rc<Refusals> {
+        self.refusals.clone()
+    }
+
     /// Creates the record of a request of this class whose head was read.
     pub fn record(self: &Rc<Self>, class: usize) -> RequestRecord {
         RequestRecord { counters: self.clone(), class, is_complete: false, counted_as: None }
@@ -88,6 +101,9 @@
             "failed": by_class(|counts| counts.failed),
             "attempts": self.attempts.get(), "in_flight": self.in_flight.get(),
             "backends_known": census.listed, "backends_excluded": census.excluded,
+            "refused_no_slot": self.refusals.get(Shortage::Slots),
+            "refused_no_memory": self.refusals.get(Shortage::Memory),
+            "refused_no_descriptor": self.refusals.get(Shortage::Descriptors),
         })
     }
 }
--- a/src/bin/proxy/downstream/first_head.rs
+++ b/src/bin/proxy/downstream/first_head.rs
@@ -9,6 +9,7 @@
 use super::lingering_close::LingeringClose;
 use super::slots::Slot;
 use crate::io::RequestHead;
+use crate::refusals::Shortage;
 use crate::upstream::deadline_margin;
 use hyper::rt::Write;
 use hyper_util::rt::TokioIo;
@@ -99,17 +100,22 @@
                 slot = self.slots.acquire_for_incomplete() => return Some(slot),
                 () = request.whole() => {}
                 () = asked_to_close(idle_close, asked_at, INCOMPLETE_WAIT_AT_LIMIT) => {
-                    request.refuse();
+                    self.refuse(request);
                     return None;
                 }
             }
         }
         let slot = timeout(request.longest_wait(), self.slots.acquire()).await;
         if slot.is_err() {
-            request.refuse();
+            self.refuse(request);
         }
         slot.ok()
     }
+
+    fn refuse(&self, request: &FirstRequest<'_>) {
+        self.counters.refusals().add(Shortage::Slots, 1);
+        request.refuse();
+    }
 }
 
 impl<'a> FirstRequest<'a> {
--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -9,6 +9,7 @@
 use crate::counters::RequestRecord;
 use crate::engine::{AdmittedRequest, NotAdmitted, ParsedRequest, RequestEnd};
 use crate::io::{Client, Progress};
+use crate::refusals::Shortage;
 use crate::upstream::UpstreamResponse;
 use hyper::body::{Body, Incoming};
 use hyper::header::EXPECT;
@@ -68,6 +69,7 @@
             Ok((_, record))
                 if source.over_limit && self.engine.unanswered_requests() >= self.served_connections() =>
             {
+                self.counters.refusals().add(Shortage::Slots, 1);
                 respond(RequestEnd::Rejected { retry_after: None }, record)
             }
             Ok((parsed, record)) => self.serve_request(parsed, record, announced, source).await,
--- a/src/bin/proxy/downstream/respond.rs
+++ b/src/bin/proxy/downstream/respond.rs
@@ -5,7 +5,7 @@
 use crate::body::{BufferReservation, RateLimitedBody};
 use crate::counters::{CountedAs, RequestRecord};
 use crate::engine::RequestEnd;
-use crate::upstream::{Permit, UpstreamResponse};
+use crate::upstream::{ConnectionReservation, UpstreamResponse};
 use bytes::{Buf, Bytes};
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
@@ -22,7 +22,7 @@
     data: ResponseData,
     remaining: Option<Box<RateLimitedBody>>,
     record: Option<RequestRecord>,
-    _long_permit: Option<Permit>,
+    _connection: Option<ConnectionReservation>,
 }
 
 /// A piece of a response body. Its memory is reserved until it is written, for which a slow client may take long.
@@ -120,10 +120,10 @@
         RequestEnd::Rejected { retry_after } => (UpstreamResponse::default(), retry_after),
         _ => (UpstreamResponse::default(), None),
     };
-    let UpstreamResponse { data, remaining, buffer_permit, long_permit } = response;
+    let UpstreamResponse { data, remaining, buffer_permit, connection } = response;
     let data = ResponseData { bytes: data, _permit: buffer_permit };
     let mut reply =
-        Response::new(ResponseBody { data, remaining, record: Some(record), _long_permit: long_permit });
+        Response::new(ResponseBody { data, remaining, record: Some(record), _connection: connection });
     *reply.status_mut() = status;
     if status == StatusCode::REQUEST_TIMEOUT {
         reply = close_after(reply);
--- a/src/bin/proxy/engine/act.rs
+++ b/src/bin/proxy/engine/act.rs
@@ -20,7 +20,10 @@
         state.events.push_back(event);
         while let Some(event) = state.events.pop_front() {
             let mut actions = std::mem::take(&mut state.actions);
+            state.balancer.set_connection_use(self.pool.connection_use());
+            let shed_before = state.balancer.shed_for_connections();
             state.balancer.handle(self.clock.at(Instant::now()), event, &mut actions);
+            self.pool.count_refused(state.balancer.shed_for_connections() - shed_before);
             for action in actions.drain(..) {
                 self.perform(state, action);
             }
@@ -35,6 +38,7 @@
             }
             Action::Reject { request, retry_after_ms } => {
                 let retry_after = Some(millis(retry_after_ms)).filter(|d| !d.is_zero());
+                self.count_refused(state, request);
                 state.end_request(request, RequestEnd::Rejected { retry_after });
             }
             Action::Fail { request } => state.end_request(request, RequestEnd::UpstreamFailed),
@@ -56,6 +60,22 @@
         }
     }
 
+    /// Counts a refused request whose last attempt was not sent because the process lacked something.
+    fn count_refused(&self, state: &State, request: RequestId) {
+        let pending = state.requests.get(&request).filter(|pending| pending.is_unanswered());
+        if let Some(shortage) = pending.and_then(|pending| pending.call.shortage.get()) {
+            self.pool.refusals.add(shortage, 1);
+        }
+    }
+
+    /// Tells the balancer of connections that became free after the end of their attempts.
+    pub async fn watch_freed_connections(self: Rc<Self>) {
+        loop {
+            self.pool.reservations.freed().await;
+            self.handle_event(Event::ConnectionsFreed);
+        }
+    }
+
     fn set_timer(self: &Rc<Self>, delay: Duration, token: u64) {
         let engine = self.clone();
         tokio::task::spawn_local(async move {
--- a/src/bin/proxy/engine/admit.rs
+++ b/src/bin/proxy/engine/admit.rs
@@ -7,6 +7,7 @@
 use super::request::{AnswerState, ClientGuard, ParsedRequest, PendingRequest, RequestEnd, backstop};
 use super::state::hash;
 use crate::body::{BodyState, RemainingBody};
+use crate::refusals::Shortage;
 use crate::upstream::{DEADLINE_MARGIN, UpstreamRequest, deadline_margin};
 use load_balancer::interface::{Arrival, Event, Idempotency, RequestId};
 use load_balancer::replay::Ending;
@@ -129,6 +130,7 @@
                 BodyState::Complete(at) => at,
                 // No backend can have it whole.
                 BodyState::Overdue => {
+                    engine.pool.refusals.add(Shortage::Memory, 1);
                     return self.guard.record_end(RequestEnd::Rejected { retry_after: None });
                 }
                 _ => return RequestEnd::ClientGone,
--- a/src/bin/proxy/engine/attempts.rs
+++ b/src/bin/proxy/engine/attempts.rs
@@ -24,6 +24,7 @@
         backend: BackendId,
         deadline_ms: f64,
     ) {
+        let connection = self.pool.reservations.reserve();
         let Some(number) = state.requests.get(&request).map(|pending| pending.attempts.len()) else { return };
         end_if_client_left(state, request);
         let target = self.resolve_target(state, request, backend);
@@ -42,7 +43,7 @@
         let call = pending.call.clone();
         call.trace.attempt_started(number, target.address);
         let deadline = self.clock.instant(deadline_ms);
-        let attempt = Attempt { call, target, deadline, begin_by, cancelled };
+        let attempt = Attempt { call, target, deadline, begin_by, connection, cancelled };
         let engine = self.clone();
         let report = move |end| engine.attempt_ended(request, number, end);
         tokio::task::spawn_local(attempt.run(self.pool.clone(), report));
--- a/src/bin/proxy/main.rs
+++ b/src/bin/proxy/main.rs
@@ -20,6 +20,7 @@
 mod observer;
 mod ops;
 mod recorder;
+mod refusals;
 mod request_trace;
 mod route_table;
 mod sent_ids;
--- a/src/bin/proxy/startup/core_parts.rs
+++ b/src/bin/proxy/startup/core_parts.rs
@@ -14,6 +14,7 @@
 use load_balancer::interface::ListKind;
 use std::rc::Rc;
 use tokio::sync::watch;
+use tokio::task::spawn_local;
 use tracing::debug;
 
 /// Returns whether calls are observed, for route reports or recordings.
@@ -65,7 +66,8 @@
         };
         let sent_ids = Rc::new(SentIds::new(config.memory_bytes));
         let buffer_budget = BufferBudget::new(memory.body_bytes);
-        let pool = Rc::new(Pool::new(limits, counters.attempts(), buffer_budget.clone(), sent_ids));
+        let (attempts, refusals) = (counters.attempts(), counters.refusals());
+        let pool = Rc::new(Pool::new(limits, attempts, buffer_budget.clone(), sent_ids, refusals));
         let (watch_wanted_sender, watch_wanted) = watch::channel(false);
         let observer = is_observed(config).then(Observer::new);
         let platform = config.platform.clone();
@@ -76,6 +78,7 @@
             .map(|page| (page.version, page.into_entries().entries))
             .unwrap_or_default();
         engine.apply_list(ListKind::Cached, version, entries);
+        spawn_local(engine.clone().watch_freed_connections());
         Ok(Core {
             counters,
             processes,
--- a/src/bin/proxy/upstream/attempt.rs
+++ b/src/bin/proxy/upstream/attempt.rs
@@ -1,17 +1,16 @@
-//! One attempt at one backend: the phases `connect`, `forward` and `await_response`.
+//! One attempt at one backend: the phase `connect`, and those of `exchange.rs`.
 //!
 //! Runs from the balancer's selection of an endpoint until the attempt's end is reported, which happens exactly
 //! once. Owns the attempt's connection meanwhile, and what it may take of the request's body ([`BodyAccess`]), which ends
 //! before the end is reported. A reusable connection returns to the pool; any other closes when its [`Link`] is dropped.
 
-use super::pool::{Link, Permit, Pool};
-use super::response::read_response;
-use super::{AttemptEnd, Target, UpstreamRequest};
-use crate::body::{BodyClaim, ClaimedBody};
-use hyper::Response;
-use hyper::body::Incoming;
+use super::exchange::{BodyAccess, exchange};
+use super::limits::Permit;
+use super::link::Link;
+use super::pool::Pool;
+use super::reservation::ConnectionReservation;
+use super::{AttemptEnd, Target, UpstreamRequest, UpstreamResponse};
 use load_balancer::interface::Outcome;
-use std::cell::Cell;
 use std::future::{Future, pending};
 use std::pin::pin;
 use std::rc::Rc;
@@ -36,59 +35,61 @@
     pub deadline: Instant,
     /// The time before which the attempt must have begun. The backend would run a later repeat again.
     pub begin_by: Option<Instant>,
+    /// The connection that is reserved for the attempt.
+    pub connection: ConnectionReservation,
     /// The channel on which the attempt is cancelled.
     pub cancelled: oneshot::Receiver<()>,
 }
 
-/// The streamed part of a request's body for one attempt, if it has such a part.
-#[derive(Clone, Default)]
-struct BodyAccess(Rc<Cell<Option<BodyClaim>>>);
-
-impl BodyAccess {
-    /// Claims the body. Returns `None` if another attempt has it, or has taken a part of it.
-    fn claim(call: &UpstreamRequest) -> Option<Self> {
-        let Some(body) = &call.remaining_body else { return Some(BodyAccess::default()) };
-        Some(BodyAccess(Rc::new(Cell::new(Some(body.claim()?)))))
-    }
-
-    /// Returns the streamed part for the connection that writes it.
-    fn streamed(&self) -> Option<ClaimedBody> {
-        let claim = self.0.take();
-        let streamed = claim.as_ref().map(BodyClaim::body);
-        self.0.set(claim);
-        streamed
-    }
-
-    /// Ends the access: what the attempt has not taken is left for the next one.
-    fn end(&self) {
-        self.0.take();
-    }
-}
-
-/// The report of an attempt's end, which ends its access to the body first.
+/// The report of an attempt's end. What the attempt holds ends first: its access to the body, and its reservation of a
+/// connection, which a response that is passed on takes over.
 struct Report<R> {
     body: BodyAccess,
+    connection: ConnectionReservation,
     report: R,
 }
 
 impl<R: FnOnce(AttemptEnd)> Report<R> {
     fn send(self, end: AttemptEnd) {
-        self.body.end();
-        (self.report)(end);
+        let Report { body, mut connection, report } = self;
+        body.end();
+        let end = match end {
+            AttemptEnd::Response(response) if response.remaining.is_some() => {
+                connection.outlive_attempt();
+                AttemptEnd::Response(UpstreamResponse { connection: Some(connection), ..response })
+            }
+            end => {
+                drop(connection);
+                end
+            }
+        };
+        report(end);
+    }
+
+    /// Reports the end of an attempt whose connection is still in use, and returns the reservation.
+    fn send_and_keep(self, end: AttemptEnd) -> ConnectionReservation {
+        let Report { body, mut connection, report } = self;
+        body.end();
+        connection.outlive_attempt();
+        report(end);
+        connection
     }
 }
 
 impl Attempt {
     /// Runs the attempt and reports its end exactly once.
     pub async fn run(self, pool: Rc<Pool>, report: impl FnOnce(AttemptEnd)) {
-        let Attempt { call, target, deadline, begin_by, cancelled } = self;
+        let Attempt { call, target, deadline, begin_by, mut connection, cancelled } = self;
         let mut cancel_or_timeout = pin!(cancelled_or_timed_out(&call, deadline, cancelled));
         let link = tokio::select! {
             biased;
             // If the attempt is cancelled or timed out in the same poll in which the connection is established,
             // nothing is written.
-            outcome = &mut cancel_or_timeout => return report(end_without_response(&call, outcome)),
-            link = connect(&pool, &call, &target) => link,
+            outcome = &mut cancel_or_timeout => {
+                drop(connection);
+                return report(end_without_response(&call, outcome));
+            }
+            link = connect(&pool, &call, &target, &mut connection) => link,
         };
         let link = match link {
             // A slow connect must not lead to a repeat outside the deduplication window.
@@ -98,9 +99,12 @@
         let connected = link.and_then(|link| Ok((link, BodyAccess::claim(&call).ok_or(Outcome::NotSent)?)));
         let ((link, _incomplete_permit), body) = match connected {
             Ok(connected) => connected,
-            Err(outcome) => return report(AttemptEnd::Failed(outcome)),
+            Err(outcome) => {
+                drop(connection);
+                return report(AttemptEnd::Failed(outcome));
+            }
         };
-        let report = Report { body: body.clone(), report };
+        let report = Report { body: body.clone(), connection, report };
         let progress = link.progress.clone();
         let mut exchange = pin!(exchange(link, &pool, &call, &target, &body, deadline));
         let outcome = tokio::select! {
@@ -118,9 +122,12 @@
             progress.abandon();
             call.undo_run(&pool.sent_ids);
         }
-        report.send(end_without_response(&call, outcome));
+        let end = end_without_response(&call, outcome);
         if written && pool.limits.may_duplicate {
+            let _connection = report.send_and_keep(end);
             drain_superseded(&pool, exchange).await;
+        } else {
+            report.send(end);
         }
     }
 }
@@ -165,11 +172,15 @@
     pool: &Rc<Pool>,
     call: &UpstreamRequest,
     target: &Rc<Target>,
+    connection: &mut ConnectionReservation,
 ) -> Result<(Link, Option<Permit>), Outcome> {
-    let permit = permit_incomplete(pool, call).await?;
+    call.shortage.set(None);
+    let permit = permit_incomplete(pool, call, connection).await?;
     let link = match pool.reuse(target.address) {
         Some(link) => link,
-        None => pool.connect(target.address).await?,
+        None => {
+            pool.connect(target.address).await.inspect_err(|error| call.shortage.set(error.shortage()))?
+        }
     };
     // The connect may have begun before the drain was known and ended long after it. Only half of the grace is
     // used, which leaves time for a late event loop and a slow write.
@@ -184,101 +195,24 @@
 }
 
 /// Returns a permit to send a request whose client has not sent it whole; a whole one needs none. Without a permit, the
-/// request waits until it is whole, or fails once the proxy can receive no more of it.
-async fn permit_incomplete(pool: &Pool, call: &UpstreamRequest) -> Result<Option<Permit>, Outcome> {
+/// request waits without a connection until it is whole, or fails once the proxy can receive no more of it.
+async fn permit_incomplete(
+    pool: &Pool,
+    call: &UpstreamRequest,
+    connection: &mut ConnectionReservation,
+) -> Result<Option<Permit>, Outcome> {
     if call.is_complete() {
         return Ok(None);
     }
-    let permit = Permit::acquire(&pool.incomplete_requests, pool.limits.slow_connections());
+    let permit = Permit::acquire(&pool.incomplete_requests, pool.limits.for_incomplete_requests());
     if permit.is_some() {
         return Ok(permit);
     }
+    connection.pause();
     call.sendable().await;
-    if call.is_complete() { Ok(None) } else { Err(Outcome::NotSent) }
-}
-
-/// Sends the request on a connection, awaits its response, and returns a reusable connection to the pool.
-async fn exchange(
-    mut link: Link,
-    pool: &Rc<Pool>,
-    call: &UpstreamRequest,
-    target: &Rc<Target>,
-    body: &BodyAccess,
-    deadline: Instant,
-) -> AttemptEnd {
-    if !call.begin_run(&pool.sent_ids) {
-        return AttemptEnd::Failed(Outcome::Malformed);
-    }
-    let response = match forward(&mut link, call, target, body, deadline).await {
-        Ok(response) => response,
-        Err(outcome) => return AttemptEnd::Failed(outcome),
-    };
-    match await_response(response, &link, pool, call, body).await {
-        Ok(end) => {
-            // The HTTP library writes what it has taken of a request that was turned away; less than all of it would
-            // leave the connection in the middle of a request.
-            if end.outcome() != Outcome::Reset && link.progress.is_taken() {
-                return_to_pool(link, pool, target);
-            }
-            end
-        }
-        Err(outcome) => AttemptEnd::Failed(outcome),
-    }
-}
-
-/// The phase `forward`: writes the request and reads the head of the response.
-async fn forward(
-    link: &mut Link,
-    call: &UpstreamRequest,
-    target: &Target,
-    body: &BodyAccess,
-    deadline: Instant,
-) -> Result<Response<Incoming>, Outcome> {
-    let timeout_ms = call.backend_timeout_ms(deadline);
-    let request = call.to_http(body.streamed(), &link.progress, timeout_ms).ok_or(Outcome::NotSent)?;
-    call.trace.forwarded(target.address, timeout_ms);
-    match link.sender.send_request(request).await {
-        Ok(response) => Ok(response),
-        Err(_) if call.is_broken() => Err(Outcome::NotSent),
-        // Only the connection's progress shows whether the backend may have received the complete request.
-        Err(_) if link.progress.is_written() => Err(Outcome::Reset),
-        Err(_) => Err(Outcome::ConnectFailed),
-    }
-}
-
-/// The phase `await_response`: reads the response. Returns `Err` if the response is invalid and the connection must
-/// not be reused.
-///
-/// A response that arrives before the request is written completely is invalid, since a backend begins its work
-/// with the last byte; only a rejection may come earlier. No more of the body is taken then, so that the request can be
-/// sent to another backend if nothing of it is gone.
-async fn await_response(
-    response: Response<Incoming>,
-    link: &Link,
-    pool: &Rc<Pool>,
-    call: &UpstreamRequest,
-    body: &BodyAccess,
-) -> Result<AttemptEnd, Outcome> {
-    let early = !link.progress.is_written();
-    if early {
-        body.end();
-    }
-    let end = read_response(response, pool, call.client_deadline()).await;
-    if !early || end.outcome() == Outcome::Rejected {
-        return Ok(end);
+    if call.is_complete() && connection.resume(pool.limits.own_connections()) {
+        return Ok(None);
     }
-    let may_have_run = link.progress.is_written();
-    link.progress.abandon();
-    Err(if may_have_run { Outcome::Reset } else { Outcome::ConnectFailed })
-}
-
-/// Returns a connection to the pool once it is ready for the next request.
-fn return_to_pool(mut link: Link, pool: &Rc<Pool>, target: &Rc<Target>) {
-    let pool = pool.clone();
-    let target = target.clone();
-    tokio::task::spawn_local(async move {
-        if link.sender.ready().await.is_ok() {
-            pool.keep(&target, link);
-        }
-    });
+    call.shortage.set(Some(pool.limits.binding()));
+    Err(Outcome::NotSent)
 }
--- a/src/bin/proxy/upstream/mod.rs
+++ b/src/bin/proxy/upstream/mod.rs
@@ -1,16 +1,22 @@
 //! The backend side of the proxy: a pool of connections, and the attempts that use them.
 //!
-//! Implements the request phases `connect`, `forward` and `await_response` in `attempt.rs`. Each attempt reports
+//! Implements the request phases `connect` in `attempt.rs`, and `forward` and `await_response` in `exchange.rs`. Each attempt reports
 //! its end to the engine as an [`AttemptEnd`]; the decision on a retry is made elsewhere.
 
 mod attempt;
+mod exchange;
+mod limits;
+mod link;
 mod pool;
 mod request;
+mod reservation;
 mod response;
 
 pub use attempt::Attempt;
-pub use pool::{Limits, Permit, Pool};
+pub use limits::Limits;
+pub use pool::Pool;
 pub use request::{DEADLINE_MARGIN, UpstreamRequest, deadline_margin};
+pub use reservation::ConnectionReservation;
 
 use crate::body::{BufferReservation, RateLimitedBody};
 use bytes::Bytes;
@@ -28,8 +34,8 @@
     pub remaining: Option<Box<RateLimitedBody>>,
     /// The reservation in the buffer budget for `data`.
     pub buffer_permit: Option<BufferReservation>,
-    /// The permit to pass on the rest of the body.
-    pub long_permit: Option<Permit>,
+    /// The connection on which the rest of the body arrives.
+    pub connection: Option<ConnectionReservation>,
 }
 
 /// One process of a backend: its address, its start time, and the time of its drain.
--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -5,6 +5,7 @@
 
 use crate::body::{BodyState, BufferReservation, ClaimedBody, RemainingBody};
 use crate::io::{Client, Outgoing, Progress};
+use crate::refusals::Shortage;
 use crate::request_trace::RequestTrace;
 use crate::sent_ids::{IdHash, SentIds};
 use bytes::Bytes;
@@ -48,6 +49,8 @@
     pub remaining_body: Option<Rc<RemainingBody>>,
     /// The hash of its id, if the request must not run twice.
     pub id_hash: Option<IdHash>,
+    /// What the last attempt lacked, if it was not sent for that.
+    pub shortage: Cell<Option<Shortage>>,
     /// Number of attempts that may have run.
     pub runs: Cell<u32>,
     /// The log of the request's phases.
--- a/src/bin/proxy/upstream/response.rs
+++ b/src/bin/proxy/upstream/response.rs
@@ -3,7 +3,7 @@
 //! Runs once for each response head that arrives in time. Buffers small bodies, and the first part of longer ones; the
 //! buffered bytes count against the buffer budget until the response is dropped.
 
-use super::pool::{Permit, Pool};
+use super::pool::Pool;
 use super::{AttemptEnd, UpstreamResponse};
 use crate::body::{self, BufferBudget, Lateness, RateLimitedBody};
 use hyper::body::{Body, Incoming};
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
-use tracing::debug;
 
 /// Time after its first bytes at which an incomplete response without a length is passed on as a stream. With less
 /// time left than this, the attempt times out first.
@@ -43,12 +42,6 @@
     };
     if let Some(remaining) = &mut response.remaining {
         remaining.set_lateness(lateness(length, client_deadline + OVERDUE_GRACE));
-        response.long_permit = Permit::acquire(&pool.long_responses, pool.limits.slow_connections());
-        if response.long_permit.is_none() {
-            // Any other backend would answer as long, and it has run.
-            debug!("response failed: as many long responses flow as connections are kept for them");
-            return AttemptEnd::Failed(Outcome::Malformed);
-        }
     }
     match head.status {
         StatusCode::OK => AttemptEnd::Response(response),
@@ -94,5 +87,5 @@
     buffer_permit.shrink(buffered.len());
     let remaining = (!complete).then(|| Box::new(body));
     let (data, buffer_permit) = (buffered.into(), Some(buffer_permit));
-    Ok(UpstreamResponse { data, remaining, buffer_permit, long_permit: None })
+    Ok(UpstreamResponse { data, remaining, buffer_permit, connection: None })
 }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod bodies;
 #[path = "../common/mod.rs"]
 mod common;
+mod connections;
 mod ejection;
 mod limit;
 mod lists;
--- a/tests/unit/proxy/counters.rs
+++ b/tests/unit/proxy/counters.rs
@@ -16,10 +16,13 @@
     rejected.count_as(CountedAs::Rejected);
     drop((served, rejected, abandoned, counters.record(0)));
     counters.attempts().set(7);
+    let refusals = [(Shortage::Slots, 1), (Shortage::Memory, 2), (Shortage::Descriptors, 3)];
+    refusals.into_iter().for_each(|(shortage, requests)| counters.refusals().add(shortage, requests));
     let zero = json!({"look": 0, "once": 0});
     let expected = json!({
         "served": {"look": 1, "once": 0}, "refused": {"look": 0, "once": 1}, "failed": {"look": 0, "once": 1},
         "attempts": 7, "in_flight": 0, "backends_known": 3, "backends_excluded": 1,
+        "refused_no_slot": 1, "refused_no_memory": 2, "refused_no_descriptor": 3,
     });
     assert_eq!(page(), expected);
     assert_eq!(Counters::new(vec!["look".into(), "once".into()]).page(Census::default())["served"], zero);
--- a/tests/unit/proxy/downstream.rs
+++ b/tests/unit/proxy/downstream.rs
@@ -31,8 +31,9 @@
         drain_grace: Duration::from_millis(500),
         may_duplicate: true,
     };
-    let pool =
-        Rc::new(Pool::new(limits, counters.attempts(), buffer_budget.clone(), Rc::new(SentIds::new(0))));
+    let sent_ids = Rc::new(SentIds::new(0));
+    let (attempts, refusals) = (counters.attempts(), counters.refusals());
+    let pool = Rc::new(Pool::new(limits, attempts, buffer_budget.clone(), sent_ids, refusals));
     let engine =
         Engine::new(platform.clone(), 1, pool, watch::Sender::new(false), None).expect("valid settings");
     let (lifecycle, open) = (Rc::new(Lifecycle::new()), Cell::new(0));
--- a/tests/unit/proxy/upstream/pool.rs
+++ b/tests/unit/proxy/upstream/pool.rs
@@ -1,9 +1,12 @@
 //! Unit tests of `src/bin/proxy/upstream/pool.rs`, which names this file.
 
 use super::*;
+use crate::io::Outgoing;
+use crate::memory::MemoryPlan;
 use hyper::Request;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, yield_now};
 
 /// Returns an empty pool for at most 8 connections.
@@ -17,7 +20,7 @@
         drain_grace: Duration::from_millis(500),
         may_duplicate: true,
     };
-    Pool::new(limits, Rc::default(), BufferBudget::new(1 << 20), Rc::new(SentIds::new(0)))
+    Pool::new(limits, Rc::default(), BufferBudget::new(1 << 20), Rc::new(SentIds::new(0)), Rc::default())
 }
 
 /// Bytes or a close may have arrived before a request is written, while the reactor has not reported them yet. The
