Give a client that reads a long response slowly its whole response

What callers saw: found while looking for other ways in which an answer is cut off while its backend gives it. A client that read at 64 kB a second had 4,014,136 bytes of 16 MB and then the end of its connection.

Cause: a write to a client that made no progress for 10 s failed (io/mod.rs). A system tells a writer of room only once a third of its buffer is free (up to 1.4 MB of 4), or a sixteenth of its peer's; at 64 kB a second that takes 13 s and more, in which the client reads all the time.

Change: the timeout is 60 s for clients; it stays 10 s for backends, whose attempts have deadlines.

Evidence: response_room::a_client_that_reads_slowly_has_its_whole_response, on real sockets: 14 s at 64 kB a second, then the rest.

--- a/src/bin/proxy/downstream/accept.rs
+++ b/src/bin/proxy/downstream/accept.rs
@@ -3,7 +3,7 @@
 //! Runs from the start of listening to the end of the process. Owns the tasks of all client connections.
 
 use super::Downstream;
-use super::connection::{CLOSED_GRACE, FIRST_REQUEST_TIMEOUT, IdleCloseReason};
+use super::activity::{CLOSED_GRACE, FIRST_REQUEST_TIMEOUT, IdleCloseReason};
 use crate::lifecycle::DRAIN_DELAY;
 use std::io;
 use std::pin::pin;
--- a/src/bin/proxy/downstream/first_head.rs
+++ b/src/bin/proxy/downstream/first_head.rs
@@ -3,9 +3,7 @@
 //! A connection without a head costs little memory so, and only those with one, or with a long one, wait for a slot.
 
 use super::Downstream;
-use super::connection::{
-    CLOSED_GRACE, FIRST_REQUEST_TIMEOUT, FIRST_REQUEST_TIMEOUT_AT_LIMIT, IdleCloseReason,
-};
+use super::activity::{CLOSED_GRACE, FIRST_REQUEST_TIMEOUT, FIRST_REQUEST_TIMEOUT_AT_LIMIT, IdleCloseReason};
 use super::lingering_close::LingeringClose;
 use super::slots::Slot;
 use crate::io::RequestHead;
--- a/src/bin/proxy/downstream/mod.rs
+++ b/src/bin/proxy/downstream/mod.rs
@@ -5,6 +5,7 @@
 //! connections and their count.
 
 mod accept;
+mod activity;
 mod check_head;
 mod connection;
 mod first_head;
--- a/src/bin/proxy/downstream/slots.rs
+++ b/src/bin/proxy/downstream/slots.rs
@@ -3,7 +3,7 @@
 //! A connection takes a slot once the head of its first request has arrived, and waits for one in the order of arrival.
 //! While some wait, idle connections and slow clients make room.
 
-use super::connection::IdleCloseReason;
+use super::activity::IdleCloseReason;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::sync::Arc;
--- a/src/bin/proxy/io/mod.rs
+++ b/src/bin/proxy/io/mod.rs
@@ -27,11 +27,14 @@
 use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
-/// Time without progress after which a write fails.
+/// Time without progress after which a write to a client fails. A system tells of room only once a third of its buffer is
+/// free, or a sixteenth of its peer's: up to 2 MB, which a slow client takes in half a minute.
+const CLIENT_WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time without progress after which a write to a backend fails.
 ///
 /// A write to a machine that stops responding without resetting its connections would stay pending for minutes. Shorter
-/// deadlines end the attempt or the response before this timeout.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// deadlines end the attempt before this timeout.
+const BACKEND_WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Size in bytes of one read while a request's head is observed.
 const HEAD_CHUNK: usize = 4096;
@@ -118,6 +121,8 @@
 pub struct Watched<S> {
     stream: S,
     progress: Rc<Progress>,
+    /// Time without progress after which a write fails.
+    stalls_after: Duration,
     /// The timeout of a write that makes no progress.
     stall_timeout: Option<Pin<Box<Sleep>>>,
     /// Function that returns whether the stream is open with no unread bytes; called before a request's first byte
@@ -126,13 +131,14 @@
 }
 
 impl<S> Watched<S> {
-    /// Wraps a stream to observe it; the stream itself counts the bytes that are read from it in `bytes_read`.
+    /// Wraps a client's stream to observe it; the stream itself counts the bytes that are read from it in `bytes_read`.
     pub fn observing(stream: S, bytes_read: Rc<Cell<u64>>) -> Self {
         let progress = Rc::new(Progress { bytes_read, ..Progress::default() });
-        Watched { stream, progress, stall_timeout: None, is_quiet: None }
+        let stalls_after = CLIENT_WRITE_STALL_TIMEOUT;
+        Watched { stream, progress, stalls_after, stall_timeout: None, is_quiet: None }
     }
 
-    /// Wraps a stream and counts the requests that are written completely in `completed_requests`. A request's
+    /// Wraps a backend's stream and counts the requests that are written completely in `completed_requests`. A request's
     /// first byte is written only if `is_quiet` returns true.
     ///
     /// A backend may close an idle connection, or write an unsolicited response to it, just before a request is
@@ -140,7 +146,8 @@
     /// sent to another backend.
     pub fn counting(stream: S, completed_requests: Rc<Cell<u64>>, is_quiet: fn(&S) -> bool) -> Self {
         let progress = Rc::new(Progress { completed_requests, ..Progress::default() });
-        Watched { stream, progress, stall_timeout: None, is_quiet: Some(is_quiet) }
+        let stalls_after = BACKEND_WRITE_STALL_TIMEOUT;
+        Watched { stream, progress, stalls_after, stall_timeout: None, is_quiet: Some(is_quiet) }
     }
 
     /// Returns the observed progress, shared with the request on the connection.
@@ -159,14 +166,14 @@
         }
     }
 
-    /// Records the result of a write; a pending write fails after [`WRITE_STALL_TIMEOUT`].
+    /// Records the result of a write; a pending write fails without progress for `stalls_after`.
     fn record_write(
         &mut self,
         cx: &mut Context<'_>,
         result: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         if result.is_pending() {
-            let timeout = self.stall_timeout.get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_TIMEOUT)));
+            let timeout = self.stall_timeout.get_or_insert_with(|| Box::pin(sleep(self.stalls_after)));
             return timeout.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()));
         }
         self.stall_timeout = None;
--- a/tests/response_room.rs
+++ b/tests/response_room.rs
@@ -9,10 +9,12 @@
 use scripted::{ConnectionEnd, Script, ScriptedResponse};
 use serde_json::{Value, json};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
+use tokio::time::{Instant, interval};
 
 /// Length of a response that is passed on before it is complete.
 const LONG: usize = 150_000;
@@ -169,3 +171,23 @@
     assert_eq!(status(&mut low).await, "503", "one place was free");
     assert_eq!(s.script.requests.borrow().len(), 9);
 }
+
+/// A client that read at 64 kB a second was cut off 10 s after the systems' buffers had filled: they tell of room only once
+/// much of it is free.
+#[tokio::test]
+async fn a_client_that_reads_slowly_has_its_whole_response() {
+    const LENGTH: usize = 16 << 20;
+    let s = Fixture::start(settings(), (192, 82), Framing::Length).await;
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n{}", "y".repeat(LENGTH));
+    s.script.enqueue([ScriptedResponse::raw(&text, ConnectionEnd::KeepOpen)]);
+    let mut client = s.send("look").await;
+    let (mut response, mut part) = (Vec::new(), vec![0; 8_000]);
+    let (mut pace, began) = (interval(Duration::from_millis(125)), Instant::now());
+    while began.elapsed() < Duration::from_secs(14) {
+        pace.tick().await;
+        let read = within_deadline(client.read(&mut part)).await.expect("the connection was not reset");
+        response.extend_from_slice(&part[..read]);
+    }
+    within_deadline(client.read_to_end(&mut response)).await.expect("the connection was not reset");
+    assert!(response.len() > LENGTH, "cut off after {} bytes", response.len());
+}
--- a/tests/unit/proxy/downstream.rs
+++ b/tests/unit/proxy/downstream.rs
@@ -1,7 +1,7 @@
 //! Unit tests of `src/bin/proxy/downstream/mod.rs`, which names this file.
 
 use super::accept::drain_accept_queue;
-use super::connection::IdleCloseReason;
+use super::activity::IdleCloseReason;
 use super::*;
 use crate::paused::rig::settings;
 use crate::upstream::{Limits, Pool};
