--- a/src/bin/proxy/upstream/request.rs
+++ b/src/bin/proxy/upstream/request.rs
@@ -159,7 +159,8 @@
         if let Some(key) = &self.key {
             headers.insert("idempotency-key", key.clone());
         }
-        if self.buffered_body.is_empty() && self.remaining_body.is_none() && self.method != Method::GET {
+        let is_empty = self.buffered_body.is_empty() && streamed.as_ref().is_none_or(ClaimedBody::is_taken);
+        if is_empty && self.method != Method::GET {
             headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
         }
         request.body(Outgoing::new(self.buffered_body.clone(), streamed, progress.clone())).ok()
