Leave it to the balancer which request is shed while connections to backends are short

Need: requests that wait for a connection count as unanswered, so that a request on a connection beyond the limit was refused at once, whatever its class, while lower ones waited.

--- a/src/balancer/admission.rs
+++ b/src/balancer/admission.rs
@@ -120,7 +120,7 @@
         self.slices[slice].queue.push_back(id);
     }
 
-    fn queued(&self) -> usize {
+    pub(super) fn queued(&self) -> usize {
         self.slices.iter().map(|slice| slice.queue.len()).sum()
     }
 
--- a/src/balancer/connections.rs
+++ b/src/balancer/connections.rs
@@ -54,6 +54,11 @@
         self.connections.shed
     }
 
+    /// Returns whether requests wait in the queues while no connection to a backend is left.
+    pub fn has_requests_without_connection(&self) -> bool {
+        self.connections.current.is_some_and(|current| current.free == 0) && self.admission.queued() > 0
+    }
+
     /// Returns whether a connection is left for a slice.
     pub(super) fn has_connection(&self, slice: usize) -> bool {
         self.connections.allow(slice, self.admission.slices.len())
--- a/src/bin/proxy/downstream/handle.rs
+++ b/src/bin/proxy/downstream/handle.rs
@@ -64,11 +64,7 @@
             // Bytes of an unread body would be parsed as the next request.
             Err(reply) if announced.has_body => close_after(*reply),
             Err(reply) => *reply,
-            // Idle clients count towards the connection limit, so a request is rejected only if the unanswered
-            // requests alone reach it.
-            Ok((_, record))
-                if source.over_limit && self.engine.unanswered_requests() >= self.served_connections() =>
-            {
+            Ok((_, record)) if source.over_limit && self.is_full() => {
                 self.counters.refusals().add(Shortage::Slots, 1);
                 respond(RequestEnd::Rejected { retry_after: None }, record)
             }
@@ -77,6 +73,14 @@
         Ok(if self.must_close(source.client) { close_after(reply) } else { reply })
     }
 
+    /// Returns whether a request beyond the connection limit is rejected. Idle clients count towards that limit, so the
+    /// unanswered requests alone must reach it; those that wait for a connection to a backend are shed by the balancer, in
+    /// the order of their classes.
+    fn is_full(&self) -> bool {
+        let unanswered = self.engine.unanswered_requests();
+        unanswered >= self.served_connections() && !self.engine.has_requests_without_connection()
+    }
+
     /// Returns the status of `/health/ready`.
     fn readiness(&self) -> StatusCode {
         let ready = self.engine.is_ready() && self.lifecycle.phase().keeps_connections();
--- a/src/bin/proxy/engine/mod.rs
+++ b/src/bin/proxy/engine/mod.rs
@@ -96,6 +96,11 @@
         self.state.borrow().requests.values().filter(|pending| pending.is_unanswered()).count()
     }
 
+    /// Returns whether requests wait because no connection to a backend is left for them.
+    pub fn has_requests_without_connection(&self) -> bool {
+        self.state.borrow().balancer.has_requests_without_connection()
+    }
+
     /// Passes the number of processes of this proxy instance at its address to the balancer.
     pub fn set_local_processes(self: &Rc<Self>, processes: u32) {
         self.handle_event(Event::LocalProcesses { processes });
