--- a/tests/rig/client.rs
+++ b/tests/rig/client.rs
@@ -7,6 +7,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,9 +20,11 @@
     sender
 }
 
-/// Returns a request id that no earlier call has returned.
+/// Returns a request id that no earlier call has returned, nor one of an earlier test process: the ids that proxies have
+/// sent at an address outlast them in its lock files, and ports are used again.
 pub fn request_id() -> String {
-    static NEXT: AtomicUsize = AtomicUsize::new(1);
+    static NEXT: LazyLock<AtomicUsize> =
+        LazyLock::new(|| AtomicUsize::new(fastrand::usize(1..usize::MAX / 2)));
     format!("{:016x}", NEXT.fetch_add(1, SeqCst))
 }
 
