Hold the late connect of a test up for its 500 ms, however long the request takes to arrive

Cause: a_late_backend_is_told_the_time_that_is_left let its backend accept as soon as the request had arrived, and relied on the connect's second SYN, 1 s after its begin, being 500 ms away then.

Change: the backend accepts nothing for 500 ms after the arrival, so that at least that much time is gone when the told time is compared, on every run; before, a slow arrival left less than the check's slack.

--- a/tests/long_requests.rs
+++ b/tests/long_requests.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time for which the clients wait.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -169,6 +169,8 @@
     let pieces = request_pieces(framing, length, timeout, "");
     let (mut client, _) = send(&proxy, &pieces, Duration::ZERO).await;
     let arrived = Instant::now();
+    // A connect is tried again a second after its begin; on a busy machine the request may take most of that to arrive.
+    sleep_until(arrived + Duration::from_millis(500)).await;
     let (control, _backend) = backend.take_connections().await;
     control.wait_for_requests(1).await;
     let left = timeout.saturating_sub(arrived.elapsed());
